--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,79 @@
+// Package event numbers the log events. docs/EVENTS.md explains each of them.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is a kind of log entry with a fixed number.
+type Event struct {
+	number int
+	level  slog.Level
+	text   string
+}
+
+// Number returns the event's number.
+func (e Event) Number() int { return e.number }
+
+// Level returns the severity.
+func (e Event) Level() slog.Level { return e.level }
+
+// Text returns the message.
+func (e Event) Text() string { return e.text }
+
+// Log writes the event with attributes, as slog takes them.
+func (e Event) Log(logger *slog.Logger, attributes ...any) {
+	logger.Log(context.Background(), e.level, e.text, append([]any{"event", e.number}, attributes...)...)
+}
+
+// Events of the instance as a whole.
+var (
+	Started      = Event{100, slog.LevelInfo, "instance started"}
+	Draining     = Event{101, slog.LevelInfo, "graceful shutdown started"}
+	Stopped      = Event{102, slog.LevelInfo, "instance stopped"}
+	StopOverdue  = Event{103, slog.LevelWarn, "graceful shutdown reached its time bound"}
+	ServeFailed  = Event{104, slog.LevelError, "a listener failed"}
+	DiskFailed   = Event{110, slog.LevelError, "the disk refused a write"}
+	DiskRepaired = Event{111, slog.LevelWarn, "a torn record at the end of a log was cut"}
+	DiskCorrupt  = Event{112, slog.LevelError, "a corrupt record before the end of a log was found"}
+	DiskFresh    = Event{113, slog.LevelInfo, "the data folder holds no replica, a new replica id is used"}
+)
+
+// Events of ledgers.
+var (
+	LeaderChanged  = Event{200, slog.LevelInfo, "the leader of a ledger changed"}
+	LedgerRestored = Event{201, slog.LevelInfo, "a ledger was restored from a snapshot"}
+	CommandInvalid = Event{202, slog.LevelError, "a committed command could not be decoded"}
+	SnapshotFailed = Event{203, slog.LevelError, "a snapshot could not be encoded"}
+)
+
+// Events of the members.
+var (
+	InstanceChanged = Event{300, slog.LevelInfo, "the state of an instance changed"}
+	BackendAdded    = Event{310, slog.LevelInfo, "a backend server announced itself"}
+	BackendLeaving  = Event{311, slog.LevelInfo, "a backend server takes no new work"}
+	BackendGone     = Event{312, slog.LevelWarn, "a backend server is not heard of any more"}
+	PeerRefused     = Event{320, slog.LevelWarn, "a peer connection was refused"}
+)
+
+// Events of requests and jobs.
+var (
+	AttemptFailed = Event{400, slog.LevelInfo, "an attempt at a backend server failed"}
+	BackendLost   = Event{401, slog.LevelWarn, "a backend server was lost while it ran a request"}
+	RequestPoison = Event{402, slog.LevelWarn, "a request was refused since it crashed backend servers"}
+	ConfigApplied = Event{500, slog.LevelDebug, "a configuration revision is in force"}
+	OrderSent     = Event{510, slog.LevelInfo, "an order was sent to a backend server"}
+	OrderRefused  = Event{511, slog.LevelWarn, "a backend server refused an order"}
+)
+
+// All returns every event, by number.
+func All() []Event {
+	return []Event{
+		Started, Draining, Stopped, StopOverdue, ServeFailed,
+		DiskFailed, DiskRepaired, DiskCorrupt, DiskFresh,
+		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed,
+		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, PeerRefused,
+		AttemptFailed, BackendLost, RequestPoison, ConfigApplied, OrderSent, OrderRefused,
+	}
+}
--- /dev/null
+++ b/core/ledger/entry.go
@@ -0,0 +1,94 @@
+package ledger
+
+// ID names a ledger.
+type ID string
+
+// ReplicaID names one copy of a ledger on one disk. An instance that lost its
+// disk returns under a new replica id.
+type ReplicaID string
+
+// EntryKind tells what an entry carries.
+type EntryKind uint8
+
+// Entry kinds.
+const (
+	EntryCommand EntryKind = iota + 1 // payload for the state machine
+	EntryMembers                      // a new member list
+	EntryEmpty                        // a leader's first entry in its term
+)
+
+// Entry is one position of a log.
+type Entry struct {
+	term    uint64
+	index   uint64
+	kind    EntryKind
+	payload []byte
+	members []Member
+}
+
+// NewEntry returns an entry; payload belongs to EntryCommand, members to
+// EntryMembers.
+func NewEntry(term, index uint64, kind EntryKind, payload []byte, members []Member) Entry {
+	return Entry{term: term, index: index, kind: kind, payload: payload, members: members}
+}
+
+// Term returns the term of the leader that created the entry.
+func (e Entry) Term() uint64 { return e.term }
+
+// Index returns the position in the log, counted from 1.
+func (e Entry) Index() uint64 { return e.index }
+
+// Kind returns the kind.
+func (e Entry) Kind() EntryKind { return e.kind }
+
+// Payload returns the encoded command.
+func (e Entry) Payload() []byte { return e.payload }
+
+// Members returns the member list of an EntryMembers.
+func (e Entry) Members() []Member { return e.members }
+
+// Member is one replica in a member list.
+type Member struct {
+	replica  ReplicaID
+	instance string
+	voter    bool
+}
+
+// NewMember returns a member; a member that is no voter is a learner.
+func NewMember(replica ReplicaID, instance string, voter bool) Member {
+	return Member{replica: replica, instance: instance, voter: voter}
+}
+
+// Replica returns the replica id.
+func (m Member) Replica() ReplicaID { return m.replica }
+
+// Instance returns the name of the instance that holds the replica.
+func (m Member) Instance() string { return m.instance }
+
+// Voter reports whether the replica counts for quorums.
+func (m Member) Voter() bool { return m.voter }
+
+// Snapshot is the state of a ledger after the entry at Index.
+type Snapshot struct {
+	index   uint64
+	term    uint64
+	members []Member
+	data    []byte
+}
+
+// NewSnapshot returns a snapshot; data is the encoded state machine.
+func NewSnapshot(index, term uint64, members []Member, data []byte) Snapshot {
+	return Snapshot{index: index, term: term, members: members, data: data}
+}
+
+// Index returns the last index that the snapshot covers; zero means no snapshot.
+func (s Snapshot) Index() uint64 { return s.index }
+
+// Term returns the term of the entry at Index.
+func (s Snapshot) Term() uint64 { return s.term }
+
+// Members returns the member list in force at Index.
+func (s Snapshot) Members() []Member { return s.members }
+
+// Data returns the encoded state machine.
+func (s Snapshot) Data() []byte { return s.data }
--- /dev/null
+++ b/core/ledger/message.go
@@ -0,0 +1,126 @@
+package ledger
+
+// MessageKind tells the purpose of a message between replicas.
+type MessageKind uint8
+
+// Message kinds.
+const (
+	MessagePreVote MessageKind = iota + 1
+	MessagePreVoteReply
+	MessageVote
+	MessageVoteReply
+	MessageAppend
+	MessageAppendReply
+	MessageSnapshot
+	MessageHello      // asks a configured instance for its replica of the ledger
+	MessageHelloReply // answers MessageHello
+	MessageJoin       // asks the leader to take a new replica in
+	MessageTransfer   // asks a replica to start an election at once
+)
+
+// Message is sent from one replica to another.
+type Message struct {
+	kind     MessageKind
+	ledger   ID
+	from     ReplicaID
+	to       ReplicaID
+	source   string // instance that sends
+	target   string // instance that receives
+	term     uint64
+	index    uint64
+	logTerm  uint64
+	commit   uint64
+	round    uint64
+	reject   bool
+	forced   bool
+	entries  []Entry
+	snapshot Snapshot
+}
+
+// MessageOption sets optional fields of a message.
+type MessageOption func(*Message)
+
+// WithPosition sets the log position that the message speaks about: the last
+// entry of a candidate, the entry before appended ones, or the matching index.
+func WithPosition(index, logTerm uint64) MessageOption {
+	return func(m *Message) { m.index, m.logTerm = index, logTerm }
+}
+
+// WithCommit sets the leader's commit index.
+func WithCommit(commit uint64) MessageOption { return func(m *Message) { m.commit = commit } }
+
+// WithRound sets the heartbeat round that a reply confirms.
+func WithRound(round uint64) MessageOption { return func(m *Message) { m.round = round } }
+
+// WithReject marks a negative reply.
+func WithReject(reject bool) MessageOption { return func(m *Message) { m.reject = reject } }
+
+// WithForced marks a vote request that follows a hand-over by the leader.
+func WithForced(forced bool) MessageOption { return func(m *Message) { m.forced = forced } }
+
+// WithEntries attaches entries.
+func WithEntries(entries []Entry) MessageOption { return func(m *Message) { m.entries = entries } }
+
+// WithSnapshot attaches a snapshot.
+func WithSnapshot(snapshot Snapshot) MessageOption {
+	return func(m *Message) { m.snapshot = snapshot }
+}
+
+// WithRoute sets the sending and receiving instances.
+func WithRoute(source, target string) MessageOption {
+	return func(m *Message) { m.source, m.target = source, target }
+}
+
+// NewMessage returns a message of one ledger between two replicas.
+func NewMessage(kind MessageKind, ledger ID, from, to ReplicaID, term uint64, options ...MessageOption) Message {
+	m := Message{kind: kind, ledger: ledger, from: from, to: to, term: term}
+	for _, option := range options {
+		option(&m)
+	}
+	return m
+}
+
+// Kind returns the purpose of the message.
+func (m Message) Kind() MessageKind { return m.kind }
+
+// Ledger returns the ledger's id.
+func (m Message) Ledger() ID { return m.ledger }
+
+// From returns the sending replica.
+func (m Message) From() ReplicaID { return m.from }
+
+// To returns the receiving replica; empty in MessageHello.
+func (m Message) To() ReplicaID { return m.to }
+
+// Source returns the sending instance.
+func (m Message) Source() string { return m.source }
+
+// Target returns the receiving instance.
+func (m Message) Target() string { return m.target }
+
+// Term returns the sender's term, or the term a pre-vote asks about.
+func (m Message) Term() uint64 { return m.term }
+
+// Index returns the log position, see WithPosition.
+func (m Message) Index() uint64 { return m.index }
+
+// LogTerm returns the term at Index.
+func (m Message) LogTerm() uint64 { return m.logTerm }
+
+// Commit returns the leader's commit index.
+func (m Message) Commit() uint64 { return m.commit }
+
+// Round returns the heartbeat round.
+func (m Message) Round() uint64 { return m.round }
+
+// Reject reports a negative reply.
+func (m Message) Reject() bool { return m.reject }
+
+// Forced reports a vote request that follows a hand-over by the leader.
+func (m Message) Forced() bool { return m.forced }
+
+// Entries returns the appended entries.
+func (m Message) Entries() []Entry { return m.entries }
+
+// Snapshot returns the attached snapshot.
+func (m Message) Snapshot() Snapshot { return m.snapshot }
--- /dev/null
+++ b/core/ledger/status.go
@@ -0,0 +1,103 @@
+package ledger
+
+import "time"
+
+// Status describes one hosted replica.
+type Status struct {
+	ledger  ID
+	replica ReplicaID
+	role    Role
+	term    uint64
+	leader  string
+	commit  uint64
+	last    uint64
+	members []Member
+}
+
+// Ledger returns the ledger's id.
+func (s Status) Ledger() ID { return s.ledger }
+
+// Replica returns the hosted replica.
+func (s Status) Replica() ReplicaID { return s.replica }
+
+// Role returns the replica's role.
+func (s Status) Role() Role { return s.role }
+
+// Term returns the current term.
+func (s Status) Term() uint64 { return s.term }
+
+// Leader returns the leader's instance; empty when unknown.
+func (s Status) Leader() string { return s.leader }
+
+// Commit returns the commit index.
+func (s Status) Commit() uint64 { return s.commit }
+
+// Last returns the last index of the log.
+func (s Status) Last() uint64 { return s.last }
+
+// Members returns the newest member list.
+func (s Status) Members() []Member { return s.members }
+
+// Statuses returns the status of all hosted replicas.
+func (w *World) Statuses() []Status {
+	var statuses []Status
+	w.replicas.Each(func(id ID, row *replicaRow) {
+		members, _ := row.log.members()
+		statuses = append(statuses, Status{
+			ledger: id, replica: row.self, role: row.role, term: row.term,
+			leader: row.leaderInstance, commit: row.commit, last: row.log.lastIndex(), members: members,
+		})
+	})
+	return statuses
+}
+
+// Leads reports whether this instance leads the ledger and may answer reads:
+// its lease holds and an entry of its own term is applied.
+func (w *World) Leads(now time.Time, ledger ID) bool {
+	row := w.replicas.Get(ledger)
+	return row != nil && row.role == RoleLeader && now.Before(row.leaseUntil) &&
+		row.applied >= row.termStart
+}
+
+// Hosts reports whether the ledger has a replica here.
+func (w *World) Hosts(ledger ID) bool { return w.replicas.Get(ledger) != nil }
+
+// LeaderOf returns the instance that leads the ledger as far as known here.
+func (w *World) LeaderOf(ledger ID) string {
+	row := w.replicas.Get(ledger)
+	if row == nil {
+		return ""
+	}
+	return row.leaderInstance
+}
+
+// Uncompacted returns how many applied entries the log of a ledger holds.
+func (w *World) Uncompacted(ledger ID) uint64 {
+	row := w.replicas.Get(ledger)
+	if row == nil || row.applied <= row.log.snapshot.index {
+		return 0
+	}
+	return row.applied - row.log.snapshot.index
+}
+
+// Applied returns the index up to which entries were handed out.
+func (w *World) Applied(ledger ID) uint64 {
+	row := w.replicas.Get(ledger)
+	if row == nil {
+		return 0
+	}
+	return row.applied
+}
+
+// Compact replaces the entries up to index by a snapshot of the state machine
+// as of that index.
+func (w *World) Compact(ledger ID, index uint64, data []byte) {
+	row := w.replicas.Get(ledger)
+	if row == nil || index > row.applied || index <= row.log.snapshot.index {
+		return
+	}
+	members, _ := row.log.membersUpTo(index)
+	snapshot := NewSnapshot(index, row.log.termAt(index), members, data)
+	row.log.compact(snapshot)
+	w.save(row, NewSnapshotRecord(row.id, row.self, snapshot))
+}
--- /dev/null
+++ b/core/ledger/system_elect.go
@@ -0,0 +1,176 @@
+package ledger
+
+import "time"
+
+// elect starts a pre-vote when the election timeout passed, and makes a leader
+// without a quorum step down.
+func (w *World) elect(now time.Time, row *replicaRow) {
+	if row.role == RoleFresh {
+		return
+	}
+	if row.role == RoleLeader {
+		if now.Sub(row.leaseUntil) > stepDownLeases*w.electionMax {
+			w.follow(now, row, row.term, "", "")
+		}
+		return
+	}
+	if now.Before(row.electionDue) {
+		return
+	}
+	row.electionDue = now.Add(w.electionTimeout())
+	if !row.isVoter() {
+		return
+	}
+	row.role = RolePreCandidate
+	row.leader, row.leaderInstance = "", ""
+	w.campaign(now, row, MessagePreVote, row.term+1)
+}
+
+// campaign asks all voters for a pre-vote or a vote in term.
+func (w *World) campaign(now time.Time, row *replicaRow, kind MessageKind, term uint64) {
+	row.votes = map[ReplicaID]bool{row.self: true}
+	members, _ := row.log.members()
+	for _, m := range members {
+		if !m.voter || m.replica == row.self {
+			continue
+		}
+		message := NewMessage(kind, row.id, row.self, m.replica, term,
+			WithRoute(w.instance, m.instance),
+			WithPosition(row.log.lastIndex(), row.log.lastTerm()),
+			WithForced(row.force))
+		w.sendDurable(message, kind == MessageVote)
+	}
+	w.countVotes(now, row)
+}
+
+// countVotes moves a candidate on when a majority agrees.
+func (w *World) countVotes(now time.Time, row *replicaRow) {
+	if !row.quorum(func(m Member) bool { return row.votes[m.replica] }) {
+		return
+	}
+	switch row.role {
+	case RolePreCandidate:
+		w.stand(now, row)
+	case RoleCandidate:
+		w.lead(now, row)
+	}
+}
+
+// stand opens a new term and asks for votes.
+func (w *World) stand(now time.Time, row *replicaRow) {
+	row.role = RoleCandidate
+	row.term++
+	row.vote = row.self
+	w.saveVote(row)
+	w.campaign(now, row, MessageVote, row.term)
+}
+
+// lead makes the replica the leader of its term.
+func (w *World) lead(now time.Time, row *replicaRow) {
+	row.role = RoleLeader
+	row.leader, row.leaderInstance = row.self, w.instance
+	row.force = false
+	row.rounds, row.leaseUntil = nil, now
+	w.progress.Each(func(key progressKey, _ *progressRow) {
+		if key.ledger == row.id {
+			w.progress.Remove(key)
+		}
+	})
+	row.termStart = w.appendOwn(row, Entry{kind: EntryEmpty}).index
+	w.trackMembers(now, row)
+}
+
+// follow makes the replica a follower in term; leader may be unknown.
+func (w *World) follow(now time.Time, row *replicaRow, term uint64, leader ReplicaID, instance string) {
+	if term > row.term {
+		row.term, row.vote = term, ""
+		w.saveVote(row)
+	}
+	row.role = RoleFollower
+	if !row.formed() {
+		row.role = RoleFresh
+	}
+	row.leader, row.leaderInstance = leader, instance
+	row.leaseUntil = time.Time{}
+	row.electionDue = now.Add(w.electionTimeout())
+	if leader != "" {
+		row.heardLeader = now
+	}
+}
+
+// sticky reports whether the replica still owes its silence to a leader, so
+// that a leader lease confirmed by it stays exclusive.
+func (w *World) sticky(now time.Time, row *replicaRow) bool {
+	if row.role == RoleLeader {
+		return now.Before(row.leaseUntil)
+	}
+	return now.Sub(row.heardLeader) < w.electionMin
+}
+
+// upToDate reports whether a candidate's log holds all that this one may have
+// helped to commit.
+func (row *replicaRow) upToDate(m Message) bool {
+	if m.logTerm != row.log.lastTerm() {
+		return m.logTerm > row.log.lastTerm()
+	}
+	return m.index >= row.log.lastIndex()
+}
+
+// receivePreVote answers whether this replica would vote for the candidate.
+func (w *World) receivePreVote(now time.Time, row *replicaRow, m Message) {
+	grant := m.term > row.term && row.upToDate(m) && !w.sticky(now, row)
+	term := row.term
+	if grant {
+		term = m.term
+	}
+	w.send(NewMessage(MessagePreVoteReply, row.id, row.self, m.from, term,
+		WithRoute(w.instance, m.source), WithReject(!grant)))
+}
+
+// receivePreVoteReply counts a pre-vote. A refusal from a higher term raises
+// this replica's term, or a longer log with a low term could never win.
+func (w *World) receivePreVoteReply(now time.Time, row *replicaRow, m Message) {
+	if m.reject && m.term > row.term {
+		w.follow(now, row, m.term, "", "")
+		return
+	}
+	if row.role == RolePreCandidate && m.term == row.term+1 && !m.reject {
+		row.votes[m.from] = true
+		w.countVotes(now, row)
+	}
+}
+
+// receiveVote grants or refuses a vote. A forced vote follows a hand-over by
+// the leader, which gave up its lease before.
+func (w *World) receiveVote(now time.Time, row *replicaRow, m Message) {
+	if m.term < row.term || (!m.forced && w.sticky(now, row)) {
+		w.send(NewMessage(MessageVoteReply, row.id, row.self, m.from, row.term,
+			WithRoute(w.instance, m.source), WithReject(true)))
+		return
+	}
+	if m.term > row.term {
+		w.follow(now, row, m.term, "", "")
+	}
+	grant := (row.vote == "" || row.vote == m.from) && row.role != RoleLeader && row.upToDate(m)
+	if grant && row.vote == "" {
+		row.vote = m.from
+		w.saveVote(row)
+	}
+	if grant {
+		row.electionDue = now.Add(w.electionTimeout())
+	}
+	w.sendDurable(NewMessage(MessageVoteReply, row.id, row.self, m.from, row.term,
+		WithRoute(w.instance, m.source), WithReject(!grant)), true)
+}
+
+// receiveVoteReply counts a vote.
+func (w *World) receiveVoteReply(now time.Time, row *replicaRow, m Message) {
+	if m.term > row.term {
+		w.follow(now, row, m.term, "", "")
+		return
+	}
+	if row.role == RoleCandidate && m.term == row.term && !m.reject {
+		row.votes[m.from] = true
+		w.countVotes(now, row)
+	}
+}
--- /dev/null
+++ b/core/ledger/system_transfer.go
@@ -0,0 +1,62 @@
+package ledger
+
+import "time"
+
+// transfer hands the lead to the preferred instance once that is up to date.
+func (w *World) transfer(now time.Time, row *replicaRow) {
+	if row.role != RoleLeader || row.prefer == "" || row.prefer == w.instance || row.commit < row.termStart {
+		return
+	}
+	if now.Before(row.transferDue) {
+		return
+	}
+	row.transferDue = now.Add(transferRetry)
+	w.handOver(now, row, row.prefer)
+}
+
+// handOver lets an up-to-date voter of the named instance start an election.
+// Any instance will do when the name is empty. The lease ends here first, so
+// that two leaders never hold one at the same time.
+func (w *World) handOver(now time.Time, row *replicaRow, instance string) bool {
+	members, index := row.log.members()
+	if index > row.commit {
+		return false
+	}
+	for _, m := range members {
+		p := w.progress.Get(progressKey{row.id, m.replica})
+		if p == nil || !m.voter || (instance != "" && m.instance != instance) {
+			continue
+		}
+		if p.match != row.log.lastIndex() || now.Sub(p.ackedAt) > 2*w.heartbeat {
+			continue
+		}
+		term := row.term
+		w.follow(now, row, term, "", "")
+		w.send(NewMessage(MessageTransfer, row.id, row.self, m.replica, term, WithRoute(w.instance, m.instance)))
+		return true
+	}
+	return false
+}
+
+// receiveTransfer starts an election at the leader's request.
+func (w *World) receiveTransfer(now time.Time, row *replicaRow, m Message) {
+	if m.term != row.term || !row.isVoter() {
+		return
+	}
+	row.force = true
+	w.stand(now, row)
+	row.force = false
+}
+
+// HandOver gives the lead of every ledger led here to another instance, as far
+// as one is up to date, and reports how many are still led here.
+func (w *World) HandOver(now time.Time) int {
+	left := 0
+	w.replicas.Each(func(_ ID, row *replicaRow) {
+		row.prefer = ""
+		if row.role == RoleLeader && !w.handOver(now, row, "") {
+			left++
+		}
+	})
+	return left
+}
