Control and traffic worlds, home and configuration state machines

Cause: requests, jobs and configuration need decisions that no transport or codec is part of. Ruled out: calls that block a goroutine for each ledger operation; calls are rows that a system routes, retries and answers.

--- /dev/null
+++ b/core/control/doc.go
@@ -0,0 +1,5 @@
+// Package control is the control world of an instance: membership, hosted
+// ledgers and their state machines, calls to ledgers elsewhere, the followed
+// configuration and the batch runner. One goroutine owns it; it publishes an
+// immutable snapshot to the traffic threads.
+package control
--- /dev/null
+++ b/core/home/snapshot.go
@@ -0,0 +1,296 @@
+package home
+
+import "time"
+
+// RequestRecord is a request key with what is stored for it, for snapshots.
+type RequestRecord struct {
+	key     Key
+	answer  Answer
+	started bool
+	attempt uint64
+	until   time.Time
+	seen    time.Time
+}
+
+// NewRequestRecord returns a request record.
+func NewRequestRecord(key Key, answer Answer, started bool, attempt uint64, until, seen time.Time) RequestRecord {
+	return RequestRecord{key: key, answer: answer, started: started, attempt: attempt, until: until, seen: seen}
+}
+
+// Key returns the request key.
+func (r RequestRecord) Key() Key { return r.key }
+
+// Answer returns the stored answer.
+func (r RequestRecord) Answer() Answer { return r.answer }
+
+// Started reports a request that must not be repeated.
+func (r RequestRecord) Started() bool { return r.started }
+
+// Attempt returns the number of the only attempt.
+func (r RequestRecord) Attempt() uint64 { return r.attempt }
+
+// Until returns the deadline of the only attempt.
+func (r RequestRecord) Until() time.Time { return r.until }
+
+// Seen returns when the row last changed.
+func (r RequestRecord) Seen() time.Time { return r.seen }
+
+// LeaseRecord is one lease of a job, for snapshots.
+type LeaseRecord struct {
+	id    uint32
+	owner string
+	until time.Time
+	items []int
+}
+
+// NewLeaseRecord returns a lease over the given items.
+func NewLeaseRecord(id uint32, owner string, until time.Time, items []int) LeaseRecord {
+	return LeaseRecord{id: id, owner: owner, until: until, items: items}
+}
+
+// ID returns the lease's number within its job.
+func (l LeaseRecord) ID() uint32 { return l.id }
+
+// Owner returns the owner.
+func (l LeaseRecord) Owner() string { return l.owner }
+
+// Until returns the end of the lease.
+func (l LeaseRecord) Until() time.Time { return l.until }
+
+// Items returns the positions of the held items, ascending.
+func (l LeaseRecord) Items() []int { return l.items }
+
+// JobRecord is one job with its items, for snapshots.
+type JobRecord struct {
+	key       Key
+	service   string
+	once      bool
+	total     int
+	cancelled bool
+	changed   time.Time
+	items     []Item
+	runs      []uint8
+	answers   []Completion
+	leases    []LeaseRecord
+	lastLease uint32
+}
+
+// JobRecordOption sets optional fields of a job record.
+type JobRecordOption func(*JobRecord)
+
+// WithRecordItems sets the items and how often each was leased.
+func WithRecordItems(items []Item, runs []uint8) JobRecordOption {
+	return func(j *JobRecord) { j.items, j.runs = items, runs }
+}
+
+// WithRecordAnswers sets the answered items.
+func WithRecordAnswers(answers []Completion) JobRecordOption {
+	return func(j *JobRecord) { j.answers = answers }
+}
+
+// WithRecordLeases sets the leases and the number of the last one.
+func WithRecordLeases(leases []LeaseRecord, last uint32) JobRecordOption {
+	return func(j *JobRecord) { j.leases, j.lastLease = leases, last }
+}
+
+// NewJobRecord returns a job record.
+func NewJobRecord(key Key, service string, once bool, total int, cancelled bool, changed time.Time, options ...JobRecordOption) JobRecord {
+	j := JobRecord{key: key, service: service, once: once, total: total, cancelled: cancelled, changed: changed}
+	for _, option := range options {
+		option(&j)
+	}
+	return j
+}
+
+// Key returns the job's key.
+func (j JobRecord) Key() Key { return j.key }
+
+// Service returns the job's service.
+func (j JobRecord) Service() string { return j.service }
+
+// Once reports whether items must not be repeated.
+func (j JobRecord) Once() bool { return j.once }
+
+// Total returns the declared number of items.
+func (j JobRecord) Total() int { return j.total }
+
+// Cancelled reports whether the job was cancelled.
+func (j JobRecord) Cancelled() bool { return j.cancelled }
+
+// Changed returns when the job last changed.
+func (j JobRecord) Changed() time.Time { return j.changed }
+
+// Items returns the items.
+func (j JobRecord) Items() []Item { return j.items }
+
+// Runs returns how often each item was leased.
+func (j JobRecord) Runs() []uint8 { return j.runs }
+
+// Answers returns the answered items.
+func (j JobRecord) Answers() []Completion { return j.answers }
+
+// Leases returns the leases.
+func (j JobRecord) Leases() []LeaseRecord { return j.leases }
+
+// LastLease returns the number of the newest lease.
+func (j JobRecord) LastLease() uint32 { return j.lastLease }
+
+// SuspectRecord is the crash count of a fingerprint, for snapshots.
+type SuspectRecord struct {
+	fingerprint uint64
+	attempts    []uint64
+	seen        time.Time
+}
+
+// NewSuspectRecord returns a suspect record.
+func NewSuspectRecord(fingerprint uint64, attempts []uint64, seen time.Time) SuspectRecord {
+	return SuspectRecord{fingerprint: fingerprint, attempts: attempts, seen: seen}
+}
+
+// Fingerprint returns the content fingerprint.
+func (r SuspectRecord) Fingerprint() uint64 { return r.fingerprint }
+
+// Attempts returns the attempts that ended in a crash.
+func (r SuspectRecord) Attempts() []uint64 { return r.attempts }
+
+// Seen returns when the last crash was counted.
+func (r SuspectRecord) Seen() time.Time { return r.seen }
+
+// OwnerRecord is the newest grant of an owner, for snapshots.
+type OwnerRecord struct {
+	owner   string
+	number  uint64
+	seen    time.Time
+	granted []Completion // items without an answer
+}
+
+// NewOwnerRecord returns an owner record.
+func NewOwnerRecord(owner string, number uint64, seen time.Time, granted []Completion) OwnerRecord {
+	return OwnerRecord{owner: owner, number: number, seen: seen, granted: granted}
+}
+
+// Owner returns the owner.
+func (r OwnerRecord) Owner() string { return r.owner }
+
+// Number returns the number of the owner's newest lease command.
+func (r OwnerRecord) Number() uint64 { return r.number }
+
+// Seen returns when that command was issued.
+func (r OwnerRecord) Seen() time.Time { return r.seen }
+
+// Granted returns the granted items; their answers are empty.
+func (r OwnerRecord) Granted() []Completion { return r.granted }
+
+// Records is the whole state of a home ledger, for snapshots.
+type Records struct {
+	requests []RequestRecord
+	jobs     []JobRecord
+	suspects []SuspectRecord
+	owners   []OwnerRecord
+}
+
+// NewRecords returns a state as records.
+func NewRecords(requests []RequestRecord, jobs []JobRecord, suspects []SuspectRecord, owners []OwnerRecord) Records {
+	return Records{requests: requests, jobs: jobs, suspects: suspects, owners: owners}
+}
+
+// Requests returns the request keys.
+func (r Records) Requests() []RequestRecord { return r.requests }
+
+// Jobs returns the jobs.
+func (r Records) Jobs() []JobRecord { return r.jobs }
+
+// Suspects returns the crash counts.
+func (r Records) Suspects() []SuspectRecord { return r.suspects }
+
+// Owners returns the newest grants.
+func (r Records) Owners() []OwnerRecord { return r.owners }
+
+// Export returns the whole state as records.
+func (s *State) Export() Records {
+	var owners []OwnerRecord
+	s.owners.Each(func(owner string, row *ownerRow) {
+		var granted []Completion
+		for _, g := range row.granted {
+			granted = append(granted, NewCompletion(g.job, g.index, Answer{}))
+		}
+		owners = append(owners, NewOwnerRecord(owner, row.number, row.seen, granted))
+	})
+	var requests []RequestRecord
+	var jobs []JobRecord
+	var suspects []SuspectRecord
+	s.requests.Each(func(key Key, r *requestRow) {
+		requests = append(requests, NewRequestRecord(key, r.answer, r.started, r.attempt, r.until, r.seen))
+	})
+	s.jobs.Each(func(key Key, j *jobRow) { jobs = append(jobs, j.export(key)) })
+	s.suspects.Each(func(fingerprint uint64, r *suspectRow) {
+		suspects = append(suspects, NewSuspectRecord(fingerprint, append([]uint64(nil), r.attempts...), r.seen))
+	})
+	return NewRecords(requests, jobs, suspects, owners)
+}
+
+// export returns the record of one job.
+func (j *jobRow) export(key Key) JobRecord {
+	var answers []Completion
+	held := make(map[uint32][]int)
+	for i, state := range j.states {
+		if state == ItemDone {
+			answers = append(answers, NewCompletion(key, i, j.answers[i]))
+		}
+		if j.held[i] != 0 {
+			held[j.held[i]] = append(held[j.held[i]], i)
+		}
+	}
+	var leases []LeaseRecord
+	for _, l := range j.leases {
+		leases = append(leases, NewLeaseRecord(l.id, l.owner, l.until, held[l.id]))
+	}
+	return NewJobRecord(key, j.service, j.once, j.total, j.cancelled, j.changed,
+		WithRecordItems(append([]Item(nil), j.items...), append([]uint8(nil), j.runs...)),
+		WithRecordAnswers(answers), WithRecordLeases(leases, j.lastLease))
+}
+
+// Restore returns the state that the records describe.
+func Restore(records Records) *State {
+	s := New()
+	for _, r := range records.owners {
+		row := ownerRow{number: r.number, seen: r.seen}
+		for _, g := range r.granted {
+			row.granted = append(row.granted, grantRow{job: g.job, index: g.index})
+		}
+		s.owners.Put(r.owner, row)
+	}
+	for _, r := range records.requests {
+		s.requests.Put(r.key, requestRow{answer: r.answer, started: r.started, attempt: r.attempt, until: r.until, seen: r.seen})
+	}
+	for _, record := range records.jobs {
+		s.jobs.Put(record.key, restoreJob(record))
+	}
+	for _, r := range records.suspects {
+		s.suspects.Put(r.fingerprint, suspectRow{crashes: len(r.attempts), attempts: r.attempts, seen: r.seen})
+	}
+	return s
+}
+
+// restoreJob rebuilds the columns of one job.
+func restoreJob(record JobRecord) jobRow {
+	j := jobRow{service: record.service, once: record.once, total: record.total,
+		cancelled: record.cancelled, changed: record.changed, lastLease: record.lastLease}
+	j.add(record.items)
+	copy(j.runs, record.runs)
+	for _, done := range record.answers {
+		j.finish(done.index, done.answer)
+	}
+	for _, l := range record.leases {
+		if len(l.items) == 0 {
+			continue
+		}
+		for _, i := range l.items {
+			j.states[i], j.held[i] = ItemLeased, l.id
+		}
+		j.leased += len(l.items)
+		j.leases = append(j.leases, leaseRow{id: l.id, owner: l.owner, until: l.until,
+			first: l.items[0], end: l.items[len(l.items)-1] + 1, open: len(l.items)})
+	}
+	return j
+}
--- /dev/null
+++ b/core/member/backend.go
@@ -0,0 +1,148 @@
+package member
+
+import "slices"
+
+// Protocol is how a backend server is spoken to.
+type Protocol uint8
+
+// Protocols.
+const (
+	ProtocolEngine Protocol = iota + 1 // streaming model engine
+	ProtocolPlain                      // plain request and answer over HTTP
+)
+
+// Load is a backend server's own report; it lags.
+type Load struct {
+	running int
+	queued  int
+}
+
+// NewLoad returns a report of running and queued requests.
+func NewLoad(running, queued int) Load { return Load{running: running, queued: queued} }
+
+// Running returns the number of running requests.
+func (l Load) Running() int { return l.running }
+
+// Queued returns the number of requests that wait inside the server.
+func (l Load) Queued() int { return l.queued }
+
+// Backend is what is known of one backend server.
+type Backend struct {
+	id          string
+	address     string // base URL
+	dataCentre  string
+	protocol    Protocol
+	slots       int      // requests that run at the same time
+	services    []string // services that the server can run
+	models      []string // loaded models as name@version, sorted
+	fences      bool     // refuses orders with an old fencing number
+	incarnation uint64
+	sequence    uint64 // number of the announcement
+	leaving     bool
+	gone        bool
+	load        Load
+}
+
+// BackendOption sets optional fields of a backend server.
+type BackendOption func(*Backend)
+
+// WithServices sets the services that the server can run.
+func WithServices(services ...string) BackendOption {
+	return func(b *Backend) { b.services = services }
+}
+
+// WithModels sets the loaded models as name@version.
+func WithModels(models ...string) BackendOption {
+	return func(b *Backend) { b.models = slices.Sorted(slices.Values(models)) }
+}
+
+// WithFences tells that the server refuses orders with an old fencing number.
+func WithFences(fences bool) BackendOption { return func(b *Backend) { b.fences = fences } }
+
+// WithLeaving marks a server that takes no new work.
+func WithLeaving(leaving bool) BackendOption { return func(b *Backend) { b.leaving = leaving } }
+
+// WithGone marks a server that is not heard of any more.
+func WithGone(gone bool) BackendOption { return func(b *Backend) { b.gone = gone } }
+
+// WithLoad sets the load report.
+func WithLoad(load Load) BackendOption { return func(b *Backend) { b.load = load } }
+
+// NewBackend returns a backend server as of one announcement.
+func NewBackend(id, address, dataCentre string, protocol Protocol, slots int, incarnation, sequence uint64, options ...BackendOption) Backend {
+	b := Backend{id: id, address: address, dataCentre: dataCentre, protocol: protocol,
+		slots: slots, incarnation: incarnation, sequence: sequence}
+	for _, option := range options {
+		option(&b)
+	}
+	return b
+}
+
+// ID returns the server's id.
+func (b Backend) ID() string { return b.id }
+
+// Address returns the base URL.
+func (b Backend) Address() string { return b.address }
+
+// DataCentre returns the server's data centre.
+func (b Backend) DataCentre() string { return b.dataCentre }
+
+// Protocol returns how the server is spoken to.
+func (b Backend) Protocol() Protocol { return b.protocol }
+
+// Slots returns how many requests run at the same time.
+func (b Backend) Slots() int { return b.slots }
+
+// Services returns the services that the server can run.
+func (b Backend) Services() []string { return b.services }
+
+// Models returns the loaded models as name@version.
+func (b Backend) Models() []string { return b.models }
+
+// Fences reports whether the server refuses orders with an old fencing number.
+func (b Backend) Fences() bool { return b.fences }
+
+// Incarnation returns the number that a restart raises.
+func (b Backend) Incarnation() uint64 { return b.incarnation }
+
+// Sequence returns the number of the announcement.
+func (b Backend) Sequence() uint64 { return b.sequence }
+
+// Leaving reports whether the server takes no new work.
+func (b Backend) Leaving() bool { return b.leaving }
+
+// Gone reports whether the server is not heard of any more.
+func (b Backend) Gone() bool { return b.gone }
+
+// Load returns the last load report.
+func (b Backend) Load() Load { return b.load }
+
+// Runs reports whether the server can run a service.
+func (b Backend) Runs(service string) bool { return slices.Contains(b.services, service) }
+
+// merge returns the newer of two views of the same server. Leaving is final
+// within an incarnation, whichever view arrives last.
+func (b Backend) merge(other Backend) Backend {
+	if b.incarnation != other.incarnation {
+		if other.incarnation > b.incarnation {
+			return other
+		}
+		return b
+	}
+	result := b
+	if other.sequence > b.sequence {
+		result = other
+	}
+	if other.sequence == b.sequence {
+		result.gone = b.gone || other.gone
+	}
+	result.leaving = b.leaving || other.leaving
+	return result
+}
+
+// changed reports whether the views differ in more than the load report.
+func (b Backend) changed(other Backend) bool {
+	return b.incarnation != other.incarnation || b.leaving != other.leaving || b.gone != other.gone ||
+		b.slots != other.slots || b.address != other.address ||
+		!slices.Equal(b.services, other.services) || !slices.Equal(b.models, other.models)
+}
--- /dev/null
+++ b/core/member/system_probe.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"math/bits"
+	"time"
+)
+
+// probeNext probes one random reachable instance, and every seed that was not
+// heard of yet.
+func (w *World) probeNext(now time.Time) {
+	w.probeDue.Arm(now.Add(w.interval))
+	var reachable []string
+	w.instances.Each(func(name string, row *instanceRow) {
+		if name == w.self.name {
+			return
+		}
+		if row.seed {
+			w.send(MessageDigest, name, WithDigest(w.digest()))
+			return
+		}
+		if row.instance.Reachable() {
+			reachable = append(reachable, name)
+		}
+	})
+	if len(reachable) > 0 {
+		w.probe(now, reachable[w.random.IntN(len(reachable))], "", 0)
+	}
+}
+
+// probe sends a probe; relayFor names an instance to which the ack is passed on.
+func (w *World) probe(now time.Time, target, relayFor string, relayNo uint64) {
+	w.number++
+	w.probes.Put(w.number, probeRow{target: target, number: w.number, relayFor: relayFor, relayNo: relayNo, sent: now})
+	w.send(MessageProbe, target, WithProbe(w.number, target))
+}
+
+// probeDead probes one dead instance, so that a healed partition is noticed.
+func (w *World) probeDead(now time.Time) {
+	w.reviveDue.Arm(now.Add(reviveInterval))
+	var dead []string
+	w.instances.Each(func(name string, row *instanceRow) {
+		if row.instance.state == StateDead {
+			dead = append(dead, name)
+		}
+	})
+	if len(dead) > 0 {
+		w.send(MessageDigest, dead[w.random.IntN(len(dead))], WithDigest(w.digest()))
+	}
+}
+
+// compare sends the digest of the tables to one random reachable instance.
+func (w *World) compare(now time.Time) {
+	w.digestDue.Arm(now.Add(digestInterval))
+	for _, name := range w.pick(1, "", false) {
+		w.send(MessageDigest, name, WithDigest(w.digest()))
+	}
+}
+
+// pick returns up to count random reachable instances other than except.
+func (w *World) pick(count int, except string, local bool) []string {
+	var names []string
+	w.instances.Each(func(name string, row *instanceRow) {
+		i := row.instance
+		if name != w.self.name && name != except && !row.seed && i.Reachable() && (!local || i.dataCentre == w.self.dataCentre) {
+			names = append(names, name)
+		}
+	})
+	w.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(count, len(names))]
+}
+
+// checkProbes asks third instances about a silent target, then suspects it.
+func (w *World) checkProbes(now time.Time) {
+	w.probes.Each(func(number uint64, p *probeRow) {
+		age := now.Sub(p.sent)
+		if p.relayFor == "" && !p.indirect && age >= probeTimeout {
+			p.indirect = true
+			for _, name := range w.pick(indirectProbes, p.target, false) {
+				w.send(MessageIndirect, name, WithProbe(number, p.target))
+			}
+		}
+		if age < 2*w.interval {
+			return
+		}
+		w.probes.Remove(number)
+		if row := w.instances.Get(p.target); p.relayFor == "" && row != nil && row.instance.state == StateAlive {
+			suspect := row.instance
+			suspect.state = StateSuspect
+			w.learnInstance(now, suspect)
+		}
+	})
+}
+
+// checkSuspects declares suspects dead that did not refute, and forgets
+// instances that are dead or left for long.
+func (w *World) checkSuspects(now time.Time) {
+	w.instances.Each(func(name string, row *instanceRow) {
+		age := now.Sub(row.since)
+		switch {
+		case row.seed || name == w.self.name:
+		case row.instance.state == StateSuspect && age > suspectProbes*w.interval:
+			dead := row.instance
+			dead.state = StateDead
+			w.learnInstance(now, dead)
+		case !row.instance.Reachable() && age > deadRetention:
+			w.instances.Remove(name)
+			w.version++
+		}
+	})
+}
+
+// send queues a message and lets it carry rumors.
+func (w *World) send(kind MessageKind, to string, options ...MessageOption) {
+	instances, backends := w.takeRumors(to)
+	options = append([]MessageOption{WithRows(instances, backends)}, options...)
+	w.messages = append(w.messages, NewMessage(kind, w.self.name, to, options...))
+}
+
+// spread starts a rumor about a row.
+func (w *World) spread(key rumorKey, local bool) {
+	copies := rumorFactor * (1 + bits.Len(uint(w.instances.Len())))
+	w.rumors.Put(key, rumorRow{left: copies, local: local})
+}
+
+// takeRumors returns rows for one message and counts the transmissions.
+func (w *World) takeRumors(to string) ([]Instance, []Backend) {
+	target := w.instances.Get(to)
+	near := target != nil && target.instance.dataCentre == w.self.dataCentre
+	var instances []Instance
+	var backends []Backend
+	w.rumors.Each(func(key rumorKey, rumor *rumorRow) {
+		if len(instances)+len(backends) >= rumorsPerMessage || (rumor.local && !near) {
+			return
+		}
+		if key.backend {
+			if row := w.backends.Get(key.id); row != nil {
+				backends = append(backends, row.backend)
+			}
+		} else if row := w.instances.Get(key.id); row != nil {
+			instances = append(instances, row.instance)
+		}
+		rumor.left--
+		if rumor.left <= 0 {
+			w.rumors.Remove(key)
+		}
+	})
+	return instances, backends
+}
--- /dev/null
+++ b/core/member/world.go
@@ -0,0 +1,219 @@
+package member
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"time"
+
+	"papayaquay/core/table"
+	"papayaquay/core/timer"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Default timing and sizes.
+const (
+	DefaultProbeInterval = 500 * time.Millisecond
+	probeTimeout         = 250 * time.Millisecond // until third instances are asked
+	indirectProbes       = 3
+	suspectProbes        = 4 // probe intervals that a suspect has to refute
+	deadRetention        = 10 * time.Minute
+	reviveInterval       = 5 * time.Second // between probes of dead instances
+	digestInterval       = 3 * time.Second
+	backendTimeout       = 4 * time.Second // without an announcement to its sponsor
+	refreshInterval      = 5 * time.Second // between rumors of an unchanged backend server
+	staleBackend         = 40 * time.Second
+	rumorsPerMessage     = 24
+	rumorFactor          = 3 // transmissions of a rumor, times log2 of the instances
+)
+
+// instanceRow is an instance and when its state last changed.
+type instanceRow struct {
+	instance Instance
+	since    time.Time
+	seed     bool
+}
+
+// backendRow is a backend server as seen here.
+type backendRow struct {
+	backend Backend
+	heard   time.Time // last news
+	direct  time.Time // last announcement made to this instance
+	told    time.Time // last rumor started here
+}
+
+// probeRow is a probe without an ack.
+type probeRow struct {
+	target   string
+	number   uint64
+	relayFor string // instance that asked for an indirect probe
+	relayNo  uint64
+	sent     time.Time
+	indirect bool
+}
+
+// rumorKey names the subject of a rumor.
+type rumorKey struct {
+	backend bool
+	id      string
+}
+
+// rumorRow counts the transmissions left.
+type rumorRow struct {
+	left  int
+	local bool // spreads within the data centre only
+}
+
+// World is the membership of one instance. It belongs to the control thread.
+type World struct {
+	self      Instance
+	random    *rand.Rand
+	interval  time.Duration
+	instances *table.Table[string, instanceRow]
+	backends  *table.Table[string, backendRow]
+	probes    *table.Table[uint64, probeRow]
+	rumors    *table.Table[rumorKey, rumorRow]
+	timers    *timer.Service
+	probeDue  *timer.Subscription
+	digestDue *timer.Subscription
+	reviveDue *timer.Subscription
+	number    uint64
+	version   uint64 // raised by every visible change
+	contact   time.Time
+	messages  []Message
+}
+
+// Option changes a world at construction.
+type Option func(*World)
+
+// WithSeed seeds the choice of probe targets.
+func WithSeed(seed uint64) Option {
+	return func(w *World) { w.random = rand.New(rand.NewPCG(seed, 2)) }
+}
+
+// WithInterval sets the probe interval.
+func WithInterval(interval time.Duration) Option { return func(w *World) { w.interval = interval } }
+
+// WithSeeds adds instances known from settings, which are probed until heard.
+func WithSeeds(seeds ...Instance) Option {
+	return func(w *World) {
+		for _, seed := range seeds {
+			if seed.name != w.self.name {
+				w.instances.Put(seed.name, instanceRow{instance: seed, seed: true})
+			}
+		}
+	}
+}
+
+// New returns the membership world of instance self at time now.
+func New(now time.Time, self Instance, options ...Option) *World {
+	w := &World{
+		self:      self,
+		random:    rand.New(rand.NewPCG(1, 2)),
+		interval:  DefaultProbeInterval,
+		instances: table.New[string, instanceRow](),
+		backends:  table.New[string, backendRow](),
+		probes:    table.New[uint64, probeRow](),
+		rumors:    table.New[rumorKey, rumorRow](),
+		timers:    timer.New(),
+		contact:   now,
+	}
+	w.instances.Put(self.name, instanceRow{instance: self, since: now})
+	for _, option := range options {
+		option(w)
+	}
+	w.probeDue = w.timers.Subscribe("probe", w.probeNext)
+	w.digestDue = w.timers.Subscribe("digest", w.compare)
+	w.reviveDue = w.timers.Subscribe("revive", w.probeDead)
+	w.probeDue.Arm(now)
+	w.digestDue.Arm(now.Add(w.interval))
+	w.reviveDue.Arm(now.Add(reviveInterval))
+	w.spread(rumorKey{id: self.name}, false)
+	return w
+}
+
+// Run runs the systems of one tick.
+func (w *World) Run(now time.Time) {
+	w.timers.Fire(now)
+	w.checkProbes(now)
+	w.checkSuspects(now)
+	w.checkBackends(now)
+}
+
+// Next returns the earliest deadline.
+func (w *World) Next() time.Time {
+	next, _ := w.timers.Next()
+	w.probes.Each(func(_ uint64, p *probeRow) {
+		if due := p.sent.Add(probeTimeout); !p.indirect && due.Before(next) {
+			next = due
+		}
+	})
+	return next
+}
+
+// Output takes the messages of the tick.
+func (w *World) Output() []Message {
+	messages := w.messages
+	w.messages = nil
+	return messages
+}
+
+// Version changes whenever an instance or backend server row visibly changed.
+func (w *World) Version() uint64 { return w.version }
+
+// LastContact returns when another instance was last heard.
+func (w *World) LastContact() time.Time { return w.contact }
+
+// Self returns this instance's own row.
+func (w *World) Self() Instance { return w.self }
+
+// Get returns the row of a known instance.
+func (w *World) Get(name string) (Instance, bool) {
+	row := w.instances.Get(name)
+	if row == nil {
+		return Instance{}, false
+	}
+	return row.instance, true
+}
+
+// Instances returns all known instances.
+func (w *World) Instances() []Instance {
+	instances := make([]Instance, 0, w.instances.Len())
+	w.instances.Each(func(_ string, row *instanceRow) { instances = append(instances, row.instance) })
+	return instances
+}
+
+// Backends returns all known backend servers, gone ones included.
+func (w *World) Backends() []Backend {
+	backends := make([]Backend, 0, w.backends.Len())
+	w.backends.Each(func(_ string, row *backendRow) { backends = append(backends, row.backend) })
+	return backends
+}
+
+// digest combines the stable parts of all rows, in any order.
+func (w *World) digest() uint64 {
+	var sum uint64
+	w.instances.Each(func(name string, row *instanceRow) {
+		if row.instance.state != 0 && !row.seed {
+			sum ^= mix(name, row.instance.incarnation, uint64(row.instance.state))
+		}
+	})
+	w.backends.Each(func(id string, row *backendRow) {
+		b := row.backend
+		flags := uint64(0)
+		if b.leaving {
+			flags |= 1
+		}
+		if b.gone {
+			flags |= 2
+		}
+		sum ^= mix(id, b.incarnation, flags)
+	})
+	return sum
+}
+
+// mix hashes one row.
+func mix(name string, a, b uint64) uint64 {
+	h := xxhash.Sum64String(name)
+	return bits.RotateLeft64(h^a*0x9e3779b97f4a7c15, 31) * (b + 0x632be59bd9b4e019)
+}
