--- /dev/null
+++ b/io/caller/ask.go
@@ -0,0 +1,114 @@
+package caller
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"papayaquay/core/home"
+	"papayaquay/core/outcome"
+	"papayaquay/core/tick"
+	"papayaquay/core/traffic"
+	"papayaquay/io/rpc"
+	papayaquayv1 "papayaquay/proto/papayaquay/v1"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+)
+
+// Ask runs one online request and streams its answer.
+func (s *Server) Ask(ctx context.Context, request *connect.Request[papayaquayv1.AskRequest], stream *connect.ServerStream[papayaquayv1.AskResponse]) error {
+	account, err := s.account(request.Header())
+	if err != nil {
+		return rpc.Error(err)
+	}
+	r, err := s.toRequest(ctx, account, request.Msg)
+	if err != nil {
+		return rpc.Error(err)
+	}
+	if err := stream.Send(&papayaquayv1.AskResponse{Key: r.Key().Name()}); err != nil {
+		return errors.Wrap(err, "send key")
+	}
+	events := tick.NewInbox[traffic.Event]()
+	var number atomic.Uint64
+	s.submit(r, events.Post, number.Store)
+	for {
+		batch := events.Receive(ctx)
+		if batch == nil {
+			s.cancel(account, number.Load())
+			return rpc.Error(outcome.ErrCancelled)
+		}
+		final, err := s.sendEvents(stream, r.Key(), batch)
+		if err != nil {
+			s.cancel(account, number.Load())
+		}
+		if final || err != nil {
+			return rpc.Error(err)
+		}
+	}
+}
+
+// sendEvents passes events on; text pieces that wait together go in one
+// message. It reports whether the answer is complete.
+func (s *Server) sendEvents(stream *connect.ServerStream[papayaquayv1.AskResponse], key home.Key, batch []traffic.Event) (bool, error) {
+	text := ""
+	for _, e := range batch {
+		if e.Kind() == traffic.EventText {
+			text += e.Text()
+		}
+	}
+	if text != "" {
+		if err := stream.Send(&papayaquayv1.AskResponse{Text: text}); err != nil {
+			return false, errors.Wrap(err, "send text")
+		}
+	}
+	last := batch[len(batch)-1]
+	switch last.Kind() {
+	case traffic.EventError:
+		return true, last.Err()
+	case traffic.EventFinal:
+		err := stream.Send(&papayaquayv1.AskResponse{Key: key.Name(), Answer: toAnswer(last.Answer()),
+			Replaced: last.Replaced(), LocalOnly: last.Local()})
+		return true, errors.Wrap(err, "send answer")
+	}
+	return false, nil
+}
+
+// toRequest checks and converts a request.
+func (s *Server) toRequest(ctx context.Context, account string, m *papayaquayv1.AskRequest) (traffic.Request, error) {
+	key, generated := m.GetKey(), false
+	if key == "" {
+		key, generated = s.newKey(), true
+	}
+	maxTokens, err := checkWork(key, m.GetService(), int(m.GetMaxTokens()))
+	if err != nil {
+		return traffic.Request{}, err
+	}
+	timeout := time.Duration(m.GetTimeoutMs()) * time.Millisecond
+	if timeout <= 0 {
+		timeout = DefaultTimeout
+	}
+	// The caller's going away must not end the attempts of work that goes on.
+	trace := context.WithoutCancel(ctx)
+	return traffic.NewRequest(home.NewKey(account, key), m.GetService(), m.GetPrompt(), maxTokens,
+		time.Now().Add(min(timeout, MaxTimeout)), traffic.WithOnce(m.GetOnce()),
+		traffic.WithGeneratedKey(generated), traffic.WithTrace(trace)), nil
+}
+
+// checkWork checks the parts that online requests and jobs share and returns
+// the bound on tokens.
+func checkWork(key, service string, maxTokens int) (int, error) {
+	if err := checkName("key", key); err != nil {
+		return 0, err
+	}
+	if err := checkName("service", service); err != nil {
+		return 0, err
+	}
+	if maxTokens < 0 || maxTokens > MaxTokens {
+		return 0, errors.Wrapf(outcome.ErrInvalid, "max_tokens must be at most %d", MaxTokens)
+	}
+	if maxTokens == 0 {
+		maxTokens = DefaultMaxTokens
+	}
+	return maxTokens, nil
+}
--- /dev/null
+++ b/io/instance/http.go
@@ -0,0 +1,90 @@
+package instance
+
+import (
+	"expvar"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"papayaquay/io/backend"
+	"papayaquay/io/caller"
+	"papayaquay/io/operator"
+	"papayaquay/io/rpc"
+	"papayaquay/proto/papayaquay/v1/papayaquayv1connect"
+
+	"connectrpc.com/connect"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// HTTP server limits.
+const (
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
+)
+
+// newHTTPServer returns the server for callers, operators and backend servers.
+// It speaks HTTP/1.1 and, without TLS, HTTP/2 for gRPC clients.
+func (i *Instance) newHTTPServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           i.handler(),
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// handler returns the routes.
+func (i *Instance) handler() http.Handler {
+	mux := http.NewServeMux()
+	chain := metrics().meter().Middleware()
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(rpc.MaxMessageBytes)}
+	mux.Handle(papayaquayv1connect.NewCallerServiceHandler(caller.New(i.settings.DataCentre(),
+		caller.WithTraffic(i.submit, i.cancel), caller.WithControl(i.call, i.snapshot.Load),
+		caller.WithRequireAccount(i.settings.RequireAccount()), caller.WithChain(chain)), options...))
+	mux.Handle(papayaquayv1connect.NewOperatorServiceHandler(operator.New(i.version,
+		operator.WithSecrets(func() []string { return i.secrets.Load().OperatorSecrets() }),
+		operator.WithControl(i.call, i.snapshot.Load, i.status),
+		operator.WithDrain(i.Drain), operator.WithChain(chain)), options...))
+	mux.Handle(papayaquayv1connect.NewBackendServiceHandler(backend.New(i.announce, i.snapshot.Load,
+		func() []string { return i.secrets.Load().BackendSecrets() }, chain), options...))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", i.readiness)
+	mux.Handle("GET /debug/vars", i.guard(expvar.Handler()))
+	mux.Handle("GET /debug/pprof/", i.guard(http.HandlerFunc(pprof.Index)))
+	mux.Handle("GET /debug/pprof/profile", i.guard(http.HandlerFunc(pprof.Profile)))
+	return i.traced(limitBodies(mux))
+}
+
+// readiness answers the balancer: 200 while the instance takes new requests.
+func (i *Instance) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !i.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// guard lets only operators through.
+func (i *Instance) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !rpc.CheckSecret(r.Header.Get(rpc.HeaderOperatorSecret), i.secrets.Load().OperatorSecrets()) {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// traced gives each call of a caller or operator a span.
+func (i *Instance) traced(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, span := i.tracer.Start(r.Context(), "entry", trace.WithAttributes(attribute.String("path", r.URL.Path)))
+		defer span.End()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- /dev/null
+++ b/io/instance/threads.go
@@ -0,0 +1,147 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+
+	"papayaquay/core/config"
+	"papayaquay/core/control"
+	"papayaquay/core/member"
+	"papayaquay/core/outcome"
+	"papayaquay/core/tick"
+	"papayaquay/core/traffic"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// newThread creates traffic thread n.
+func (i *Instance) newThread(n int) *thread {
+	t := &thread{inbox: tick.NewInbox[traffic.Input]()}
+	t.world = traffic.New(n, i.settings.Name(), i.owner,
+		traffic.WithLogger(i.logger), traffic.WithPolicy(i.policy),
+		traffic.WithSeed(uint64(i.start.UnixNano())+uint64(n)),
+		traffic.WithObserver(metrics().observer()),
+		traffic.WithControl(i.snapshot.Load, i.ask,
+			func(s control.Suspicion) { i.controlInbox.Post(control.Suspect(s)) },
+			i.itemEnded,
+			func() { i.controlInbox.Post(control.UsageChanged()) }),
+		traffic.WithFreed(func() { i.wakeOthers(n) }),
+		traffic.WithPost(t.inbox.Post),
+		traffic.WithAttempts(
+			func(a traffic.Attempt) { i.begin(n, a) },
+			func(number uint64) { i.abort(n, number) }))
+	return t
+}
+
+// wakeOthers tells the other traffic threads that a slot got free.
+func (i *Instance) wakeOthers(n int) {
+	for other, t := range i.threads {
+		if other != n {
+			t.inbox.Post(traffic.Changed())
+		}
+	}
+}
+
+// ask sends a call to the control thread, with a span for the hop to the ledger.
+func (i *Instance) ask(ctx context.Context, call control.Call, reply func(control.Result)) {
+	_, span := i.tracer.Start(ctx, "ledger", trace.WithAttributes(
+		attribute.String("ledger", string(call.Ledger())), attribute.Int("kind", int(call.Kind()))))
+	i.controlInbox.Post(control.Ask(call, func(r control.Result) {
+		endSpan(span, r.Err())
+		reply(r)
+	}))
+}
+
+// call makes a call and waits for its result.
+func (i *Instance) call(ctx context.Context, call control.Call) (control.Result, error) {
+	results := make(chan control.Result, 1)
+	i.ask(ctx, call, func(r control.Result) { results <- r })
+	select {
+	case r := <-results:
+		return r, r.Err()
+	case <-ctx.Done():
+		return control.Result{}, outcome.ErrTimeout
+	}
+}
+
+// status asks the control thread for a report.
+func (i *Instance) status(ctx context.Context) (control.Status, error) {
+	reports := make(chan control.Status, 1)
+	i.controlInbox.Post(control.AskStatus(func(s control.Status) { reports <- s }))
+	select {
+	case s := <-reports:
+		return s, nil
+	case <-ctx.Done():
+		return control.Status{}, outcome.ErrTimeout
+	}
+}
+
+// announce passes a backend server's announcement on.
+func (i *Instance) announce(b member.Backend) { i.controlInbox.Post(control.Announce(b)) }
+
+// threadOf returns the traffic thread of an account, so that one thread counts
+// all of its requests.
+func (i *Instance) threadOf(account string) *thread {
+	return i.threads[xxhash.Sum64String(account)%uint64(len(i.threads))]
+}
+
+// submit starts an online request.
+func (i *Instance) submit(r traffic.Request, sink func(traffic.Event), accepted func(uint64)) {
+	i.threadOf(r.Key().Account()).inbox.Post(traffic.Submit(r, sink, accepted))
+}
+
+// cancel tells that the caller of a request is gone.
+func (i *Instance) cancel(account string, number uint64) {
+	if number != 0 {
+		i.threadOf(account).inbox.Post(traffic.Cancel(number))
+	}
+}
+
+// startItem gives a batch item to a traffic thread.
+func (i *Instance) startItem(item control.Item) {
+	n := int(item.Number() % uint64(len(i.threads)))
+	i.threads[n].inbox.Post(traffic.StartItem(item))
+}
+
+// stopItem stops a batch item.
+func (i *Instance) stopItem(number uint64, yield bool) {
+	i.threads[number%uint64(len(i.threads))].inbox.Post(traffic.StopItem(number, yield))
+}
+
+// itemEnded passes the end of a batch item to the control thread.
+func (i *Instance) itemEnded(r control.ItemResult) { i.controlInbox.Post(control.ItemEnded(r)) }
+
+// attemptID names an attempt towards backend servers.
+func (i *Instance) attemptID(thread int, number uint64) string {
+	return fmt.Sprintf("%s/%d/%d", i.owner, thread, number)
+}
+
+// begin starts an attempt, with a span that ends with it.
+func (i *Instance) begin(n int, a traffic.Attempt) {
+	id := i.attemptID(n, a.ID())
+	_, span := i.tracer.Start(a.Trace(), "attempt", trace.WithAttributes(
+		attribute.String("backend", a.Backend()), attribute.Bool("online", a.Online()), attribute.String("attempt", id)))
+	inbox := i.threads[n].inbox
+	post := func(input traffic.Input) {
+		if ended, err := input.Ended(); ended {
+			i.spans.end(id, err)
+		}
+		inbox.Post(input)
+	}
+	i.spans.put(id, span)
+	if a.Protocol() == config.ProtocolPlain {
+		i.plains.Begin(id, a, post)
+		return
+	}
+	i.engines.Begin(id, a, post)
+}
+
+// abort ends an attempt from this side.
+func (i *Instance) abort(n int, number uint64) {
+	id := i.attemptID(n, number)
+	i.spans.end(id, outcome.ErrCancelled)
+	i.plains.Abort(id)
+	i.engines.Abort(id)
+}
--- /dev/null
+++ b/io/record/command.go
@@ -0,0 +1,95 @@
+package record
+
+import (
+	"papayaquay/core/config"
+	"papayaquay/core/home"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// command is the wire form of home.Command.
+type command struct {
+	Kind        uint8        `cbor:"1,keyasint"`
+	Key         Key          `cbor:"2,keyasint"`
+	At          int64        `cbor:"3,keyasint"`
+	Answer      *Answer      `cbor:"4,keyasint,omitempty"`
+	Service     string       `cbor:"5,keyasint,omitempty"`
+	Once        bool         `cbor:"6,keyasint,omitempty"`
+	Total       int          `cbor:"7,keyasint,omitempty"`
+	Offset      int          `cbor:"8,keyasint,omitempty"`
+	Items       []Item       `cbor:"9,keyasint,omitempty"`
+	Owner       string       `cbor:"10,keyasint,omitempty"`
+	Limit       int          `cbor:"11,keyasint,omitempty"`
+	Until       int64        `cbor:"12,keyasint,omitempty"`
+	Completions []Completion `cbor:"13,keyasint,omitempty"`
+	Fingerprint uint64       `cbor:"14,keyasint,omitempty"`
+	Number      uint64       `cbor:"15,keyasint,omitempty"`
+}
+
+// EncodeCommand encodes a home command.
+func EncodeCommand(c home.Command) ([]byte, error) {
+	wire := command{
+		Kind: uint8(c.Kind()), Key: ToKey(c.Key()), At: millis(c.At()), Service: c.Service(), Once: c.Once(),
+		Total: c.Total(), Offset: c.Offset(), Items: ToItems(c.Items()), Owner: c.Owner(), Limit: c.Limit(),
+		Until: millis(c.Until()), Completions: ToCompletions(c.Completions()),
+		Fingerprint: c.Fingerprint(), Number: c.Number(),
+	}
+	if c.Kind() == home.CommandPutAnswer {
+		answer := ToAnswer(c.Answer())
+		wire.Answer = &answer
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode command")
+}
+
+// DecodeCommand is the inverse of EncodeCommand.
+func DecodeCommand(data []byte) (home.Command, error) {
+	var wire command
+	if err := decoder.Unmarshal(data, &wire); err != nil {
+		return home.Command{}, errors.Wrap(err, "decode command")
+	}
+	var answer Answer
+	if wire.Answer != nil {
+		answer = *wire.Answer
+	}
+	until := fromMillis(wire.Until)
+	return home.NewCommand(home.CommandKind(wire.Kind), wire.Key.Key(), fromMillis(wire.At),
+		home.WithAnswer(answer.Answer()), home.WithService(wire.Service), home.WithOnce(wire.Once),
+		home.WithItems(wire.Total, wire.Offset, Items(wire.Items)), home.WithOwner(wire.Owner, until),
+		home.WithLimit(wire.Limit), home.WithCompletions(Completions(wire.Completions)),
+		home.WithFingerprint(wire.Fingerprint), home.WithNumber(wire.Number)), nil
+}
+
+// change is the wire form of config.Change.
+type change struct {
+	Operation string `cbor:"1,keyasint"`
+	Operator  string `cbor:"2,keyasint"`
+	Kind      uint8  `cbor:"3,keyasint"`
+	Name      string `cbor:"4,keyasint"`
+	Spec      Spec   `cbor:"5,keyasint"`
+	Remove    bool   `cbor:"6,keyasint,omitempty"`
+	BasedOn   uint64 `cbor:"7,keyasint"`
+	At        int64  `cbor:"8,keyasint"`
+}
+
+// EncodeChange encodes a configuration change.
+func EncodeChange(c config.Change) ([]byte, error) {
+	data, err := cbor.Marshal(change{Operation: c.Operation(), Operator: c.Operator(),
+		Kind: uint8(c.Ref().Kind()), Name: c.Ref().Name(), Spec: ToSpec(c.Spec()),
+		Remove: c.Remove(), BasedOn: c.BasedOn(), At: millis(c.At())})
+	return data, errors.Wrap(err, "encode change")
+}
+
+// DecodeChange is the inverse of EncodeChange.
+func DecodeChange(data []byte) (config.Change, error) {
+	var wire change
+	if err := decoder.Unmarshal(data, &wire); err != nil {
+		return config.Change{}, errors.Wrap(err, "decode change")
+	}
+	ref := config.NewRef(config.Kind(wire.Kind), wire.Name)
+	if wire.Remove {
+		return config.NewRemoval(wire.Operation, wire.Operator, ref, wire.BasedOn, fromMillis(wire.At)), nil
+	}
+	return config.NewChange(wire.Operation, wire.Operator, ref, wire.Spec.Spec(), wire.BasedOn, fromMillis(wire.At)), nil
+}
--- /dev/null
+++ b/io/record/record.go
@@ -0,0 +1,213 @@
+// Package record encodes what ledgers store: commands, changes and snapshots
+// of the state machines. The format is CBOR (RFC 8949) with integer keys, so
+// that fields can be added later.
+package record
+
+import (
+	"time"
+
+	"papayaquay/core/config"
+	"papayaquay/core/control"
+	"papayaquay/core/home"
+	"papayaquay/core/outcome"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxElements bounds arrays and maps in a decoded value.
+const maxElements = 1 << 22
+
+// decoder refuses values of absurd size or depth.
+var decoder = mustDecoder()
+
+// mustDecoder builds the decoder; its options are constant and valid.
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// NewCodec returns the functions that the control world stores with.
+func NewCodec() control.Codec {
+	return control.NewCodec(
+		control.WithCommandCodec(EncodeCommand, DecodeCommand),
+		control.WithChangeCodec(EncodeChange, DecodeChange),
+		control.WithHomeCodec(EncodeHome, DecodeHome),
+		control.WithConfigCodec(EncodeConfig, DecodeConfig),
+	)
+}
+
+// millis returns a time as Unix milliseconds, the zero time as 0.
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// fromMillis is the inverse of millis.
+func fromMillis(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
+
+// Key is the wire form of home.Key.
+type Key struct {
+	_       struct{} `cbor:",toarray"`
+	Account string
+	Name    string
+}
+
+// ToKey returns the wire form of a key.
+func ToKey(k home.Key) Key { return Key{Account: k.Account(), Name: k.Name()} }
+
+// Key returns the key.
+func (k Key) Key() home.Key { return home.NewKey(k.Account, k.Name) }
+
+// Answer is the wire form of home.Answer.
+type Answer struct {
+	_        struct{} `cbor:",toarray"`
+	Code     uint8
+	Text     string
+	Tokens   int
+	Reason   string
+	Backend  string
+	Finished int64
+}
+
+// ToAnswer returns the wire form of an answer.
+func ToAnswer(a home.Answer) Answer {
+	return Answer{Code: uint8(a.Code()), Text: a.Text(), Tokens: a.Tokens(),
+		Reason: a.Reason(), Backend: a.Backend(), Finished: millis(a.Finished())}
+}
+
+// Answer returns the answer.
+func (a Answer) Answer() home.Answer {
+	return home.NewAnswer(outcome.Code(a.Code), a.Text, a.Tokens, a.Reason, a.Backend, fromMillis(a.Finished))
+}
+
+// Item is the wire form of home.Item.
+type Item struct {
+	_         struct{} `cbor:",toarray"`
+	Prompt    string
+	MaxTokens int
+}
+
+// ToItems returns the wire form of items.
+func ToItems(items []home.Item) []Item {
+	out := make([]Item, 0, len(items))
+	for _, i := range items {
+		out = append(out, Item{Prompt: i.Prompt(), MaxTokens: i.MaxTokens()})
+	}
+	return out
+}
+
+// Items returns the items.
+func Items(items []Item) []home.Item {
+	out := make([]home.Item, 0, len(items))
+	for _, i := range items {
+		out = append(out, home.NewItem(i.Prompt, i.MaxTokens))
+	}
+	return out
+}
+
+// Completion is the wire form of home.Completion.
+type Completion struct {
+	_      struct{} `cbor:",toarray"`
+	Job    Key
+	Index  int
+	Answer Answer
+}
+
+// ToCompletions returns the wire form of completions.
+func ToCompletions(items []home.Completion) []Completion {
+	out := make([]Completion, 0, len(items))
+	for _, c := range items {
+		out = append(out, Completion{Job: ToKey(c.Job()), Index: c.Index(), Answer: ToAnswer(c.Answer())})
+	}
+	return out
+}
+
+// Completions returns the completions.
+func Completions(items []Completion) []home.Completion {
+	out := make([]home.Completion, 0, len(items))
+	for _, c := range items {
+		out = append(out, home.NewCompletion(c.Job.Key(), c.Index, c.Answer.Answer()))
+	}
+	return out
+}
+
+// Spec is the wire form of config.Spec.
+type Spec struct {
+	Protocol   uint8   `cbor:"1,keyasint,omitempty"`
+	Model      string  `cbor:"2,keyasint,omitempty"`
+	Adapter    string  `cbor:"3,keyasint,omitempty"`
+	Version    string  `cbor:"4,keyasint,omitempty"`
+	Rate       float64 `cbor:"5,keyasint,omitempty"`
+	Burst      int     `cbor:"6,keyasint,omitempty"`
+	InFlight   int     `cbor:"7,keyasint,omitempty"`
+	SecretHash string  `cbor:"8,keyasint,omitempty"`
+	CutRefuse  bool    `cbor:"9,keyasint,omitempty"`
+}
+
+// ToSpec returns the wire form of a spec.
+func ToSpec(s config.Spec) Spec {
+	return Spec{Protocol: uint8(s.Protocol()), Model: s.Model(), Adapter: s.Adapter(), Version: s.Version(),
+		Rate: s.Rate(), Burst: s.Burst(), InFlight: s.InFlight(), SecretHash: s.SecretHash(), CutRefuse: s.CutRefuse()}
+}
+
+// Spec returns the spec.
+func (s Spec) Spec() config.Spec {
+	return config.NewSpec(config.WithProtocol(config.Protocol(s.Protocol)), config.WithModel(s.Model),
+		config.WithAdapter(s.Adapter), config.WithVersion(s.Version), config.WithLimits(s.Rate, s.Burst, s.InFlight),
+		config.WithSecretHash(s.SecretHash), config.WithCutRefuse(s.CutRefuse))
+}
+
+// Object is the wire form of config.Object.
+type Object struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     uint8
+	Name     string
+	Spec     Spec
+	Revision uint64
+	Deleted  bool
+}
+
+// ToObjects returns the wire form of objects.
+func ToObjects(objects []config.Object) []Object {
+	out := make([]Object, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, toObject(o))
+	}
+	return out
+}
+
+// toObject returns the wire form of one object.
+func toObject(o config.Object) Object {
+	return Object{Kind: uint8(o.Ref().Kind()), Name: o.Ref().Name(), Spec: ToSpec(o.Spec()),
+		Revision: o.Revision(), Deleted: o.Deleted()}
+}
+
+// Object returns the object.
+func (o Object) Object() config.Object {
+	return config.NewObject(config.NewRef(config.Kind(o.Kind), o.Name), o.Spec.Spec(), o.Revision, o.Deleted)
+}
+
+// Objects returns the objects.
+func Objects(objects []Object) []config.Object {
+	out := make([]config.Object, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, o.Object())
+	}
+	return out
+}
+
+// Decode decodes a CBOR value with bounds on its size and depth.
+func Decode(data []byte, value any) error {
+	return errors.Wrap(decoder.Unmarshal(data, value), "decode")
+}
--- /dev/null
+++ b/io/record/snapshot.go
@@ -0,0 +1,204 @@
+package record
+
+import (
+	"papayaquay/core/config"
+	"papayaquay/core/home"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// requestRecord is the wire form of home.RequestRecord.
+type requestRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Key     Key
+	Answer  Answer
+	Started bool
+	Attempt uint64
+	Until   int64
+	Seen    int64
+}
+
+// leaseRecord is the wire form of home.LeaseRecord.
+type leaseRecord struct {
+	_     struct{} `cbor:",toarray"`
+	ID    uint32
+	Owner string
+	Until int64
+	Items []int
+}
+
+// jobRecord is the wire form of home.JobRecord.
+type jobRecord struct {
+	Key       Key           `cbor:"1,keyasint"`
+	Service   string        `cbor:"2,keyasint"`
+	Once      bool          `cbor:"3,keyasint,omitempty"`
+	Total     int           `cbor:"4,keyasint"`
+	Cancelled bool          `cbor:"5,keyasint,omitempty"`
+	Changed   int64         `cbor:"6,keyasint"`
+	Items     []Item        `cbor:"7,keyasint"`
+	Runs      []byte        `cbor:"8,keyasint"`
+	Answers   []Completion  `cbor:"9,keyasint"`
+	Leases    []leaseRecord `cbor:"10,keyasint"`
+	LastLease uint32        `cbor:"11,keyasint"`
+}
+
+// suspectRecord is the wire form of home.SuspectRecord.
+type suspectRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Attempts    []uint64
+	Seen        int64
+}
+
+// ownerRecord is the wire form of home.OwnerRecord.
+type ownerRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Owner   string
+	Number  uint64
+	Seen    int64
+	Granted []Completion
+}
+
+// homeSnapshot is the wire form of home.Records.
+type homeSnapshot struct {
+	Requests []requestRecord `cbor:"1,keyasint"`
+	Jobs     []jobRecord     `cbor:"2,keyasint"`
+	Suspects []suspectRecord `cbor:"3,keyasint"`
+	Owners   []ownerRecord   `cbor:"4,keyasint"`
+}
+
+// EncodeHome encodes the state of a home ledger.
+func EncodeHome(records home.Records) ([]byte, error) {
+	var wire homeSnapshot
+	for _, r := range records.Requests() {
+		wire.Requests = append(wire.Requests, requestRecord{Key: ToKey(r.Key()), Answer: ToAnswer(r.Answer()),
+			Started: r.Started(), Attempt: r.Attempt(), Until: millis(r.Until()), Seen: millis(r.Seen())})
+	}
+	for _, j := range records.Jobs() {
+		wire.Jobs = append(wire.Jobs, toJobRecord(j))
+	}
+	for _, s := range records.Suspects() {
+		wire.Suspects = append(wire.Suspects, suspectRecord{Fingerprint: s.Fingerprint(), Attempts: s.Attempts(), Seen: millis(s.Seen())})
+	}
+	for _, o := range records.Owners() {
+		wire.Owners = append(wire.Owners, ownerRecord{Owner: o.Owner(), Number: o.Number(), Seen: millis(o.Seen()), Granted: ToCompletions(o.Granted())})
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode home snapshot")
+}
+
+// toJobRecord returns the wire form of a job.
+func toJobRecord(j home.JobRecord) jobRecord {
+	wire := jobRecord{Key: ToKey(j.Key()), Service: j.Service(), Once: j.Once(), Total: j.Total(),
+		Cancelled: j.Cancelled(), Changed: millis(j.Changed()), Items: ToItems(j.Items()), Runs: j.Runs(),
+		Answers: ToCompletions(j.Answers()), LastLease: j.LastLease()}
+	for _, l := range j.Leases() {
+		wire.Leases = append(wire.Leases, leaseRecord{ID: l.ID(), Owner: l.Owner(), Until: millis(l.Until()), Items: l.Items()})
+	}
+	return wire
+}
+
+// DecodeHome is the inverse of EncodeHome.
+func DecodeHome(data []byte) (home.Records, error) {
+	var wire homeSnapshot
+	if err := decoder.Unmarshal(data, &wire); err != nil {
+		return home.Records{}, errors.Wrap(err, "decode home snapshot")
+	}
+	var requests []home.RequestRecord
+	for _, r := range wire.Requests {
+		requests = append(requests, home.NewRequestRecord(r.Key.Key(), r.Answer.Answer(), r.Started, r.Attempt, fromMillis(r.Until), fromMillis(r.Seen)))
+	}
+	var jobs []home.JobRecord
+	for _, j := range wire.Jobs {
+		jobs = append(jobs, j.record())
+	}
+	var suspects []home.SuspectRecord
+	for _, s := range wire.Suspects {
+		suspects = append(suspects, home.NewSuspectRecord(s.Fingerprint, s.Attempts, fromMillis(s.Seen)))
+	}
+	var owners []home.OwnerRecord
+	for _, o := range wire.Owners {
+		owners = append(owners, home.NewOwnerRecord(o.Owner, o.Number, fromMillis(o.Seen), Completions(o.Granted)))
+	}
+	return home.NewRecords(requests, jobs, suspects, owners), nil
+}
+
+// record returns the job.
+func (j jobRecord) record() home.JobRecord {
+	var leases []home.LeaseRecord
+	for _, l := range j.Leases {
+		leases = append(leases, home.NewLeaseRecord(l.ID, l.Owner, fromMillis(l.Until), l.Items))
+	}
+	return home.NewJobRecord(j.Key.Key(), j.Service, j.Once, j.Total, j.Cancelled, fromMillis(j.Changed),
+		home.WithRecordItems(Items(j.Items), j.Runs), home.WithRecordAnswers(Completions(j.Answers)),
+		home.WithRecordLeases(leases, j.LastLease))
+}
+
+// operation is the wire form of config.Operation.
+type operation struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Applied  bool
+	Revision uint64
+	Reason   string
+	At       int64
+}
+
+// Event is the wire form of config.Event.
+type Event struct {
+	_        struct{} `cbor:",toarray"`
+	Object   Object
+	Operator string
+	At       int64
+}
+
+// ToEvents returns the wire form of events.
+func ToEvents(events []config.Event) []Event {
+	out := make([]Event, 0, len(events))
+	for _, e := range events {
+		out = append(out, Event{Object: toObject(e.Object()), Operator: e.Operator(), At: millis(e.At())})
+	}
+	return out
+}
+
+// Events returns the events.
+func Events(events []Event) []config.Event {
+	out := make([]config.Event, 0, len(events))
+	for _, e := range events {
+		out = append(out, config.NewEvent(e.Object.Object(), e.Operator, fromMillis(e.At)))
+	}
+	return out
+}
+
+// configSnapshot is the wire form of config.State.
+type configSnapshot struct {
+	Revision   uint64      `cbor:"1,keyasint"`
+	Objects    []Object    `cbor:"2,keyasint"`
+	Operations []operation `cbor:"3,keyasint"`
+	History    []Event     `cbor:"4,keyasint"`
+}
+
+// EncodeConfig encodes the state of the configuration ledger.
+func EncodeConfig(s *config.State) ([]byte, error) {
+	wire := configSnapshot{Revision: s.Revision(), Objects: ToObjects(s.Objects()), History: ToEvents(s.History(config.HistoryLength))}
+	for _, o := range s.Operations() {
+		wire.Operations = append(wire.Operations, operation{ID: o.ID(), Applied: o.Verdict().Applied(),
+			Revision: o.Verdict().Revision(), Reason: o.Verdict().Reason(), At: millis(o.At())})
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode configuration snapshot")
+}
+
+// DecodeConfig is the inverse of EncodeConfig.
+func DecodeConfig(data []byte) (*config.State, error) {
+	var wire configSnapshot
+	if err := decoder.Unmarshal(data, &wire); err != nil {
+		return nil, errors.Wrap(err, "decode configuration snapshot")
+	}
+	var operations []config.Operation
+	for _, o := range wire.Operations {
+		operations = append(operations, config.NewOperation(o.ID, config.NewVerdict(o.Applied, o.Revision, o.Reason), fromMillis(o.At)))
+	}
+	return config.Restore(wire.Revision, Objects(wire.Objects), operations, Events(wire.History)), nil
+}
--- /dev/null
+++ b/io/settings/settings.go
@@ -0,0 +1,277 @@
+// Package settings reads the TOML file of an instance. Reading is strict: what
+// the file gets wrong is reported with file, key and reason.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalid marks a file that cannot be used.
+var ErrInvalid = errors.New("invalid settings")
+
+// Default values.
+const (
+	DefaultTrafficThreads = 2
+	DefaultCompactAfter   = 5000
+	DefaultStopBound      = 30 * time.Second
+	DefaultBalancerPause  = 2 * time.Second
+	DefaultItemLease      = 10 * time.Second
+	DefaultProbeInterval  = 500 * time.Millisecond
+	DefaultQueueLimit     = 2000
+	DefaultHedgeShare     = 0.04
+	DefaultRetryShare     = 0.2
+
+	maxTrafficThreads = 64
+)
+
+// duration is a time span written like "1.5s".
+type duration time.Duration
+
+// UnmarshalText parses the span.
+func (d *duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Newf("%q is no duration, write it like \"1.5s\"", text)
+	}
+	if parsed < 0 {
+		return errors.Newf("duration %q is negative", text)
+	}
+	*d = duration(parsed)
+	return nil
+}
+
+// MarshalText writes the span.
+func (d duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// file is the content of a settings file.
+type file struct {
+	Name           string   `toml:"name"`
+	DataCentre     string   `toml:"data_centre"`
+	DataFolder     string   `toml:"data_folder,omitempty"`
+	PeerAddress    string   `toml:"peer_address"`
+	HTTPAddress    string   `toml:"http_address"`
+	PeerKeys       []string `toml:"peer_keys"`
+	OperatorKeys   []string `toml:"operator_secrets,omitempty"`
+	BackendKeys    []string `toml:"backend_secrets,omitempty"`
+	RequireAccount bool     `toml:"require_account"`
+	TrafficThreads int      `toml:"traffic_threads"`
+	LogLevel       string   `toml:"log_level"`
+
+	Limits    limits     `toml:"limits"`
+	Trace     trace      `toml:"trace"`
+	Instances []instance `toml:"instance"`
+	Ledgers   []ledger   `toml:"ledger"`
+}
+
+// limits are bounds and timeouts.
+type limits struct {
+	CompactAfter  uint64   `toml:"compact_after"`  // applied entries before a snapshot
+	StopBound     duration `toml:"stop_bound"`     // longest graceful shutdown
+	BalancerPause duration `toml:"balancer_pause"` // between "not ready" and the refusal of new requests
+	ItemLease     duration `toml:"item_lease"`     // lease of batch items
+	ProbeInterval duration `toml:"probe_interval"` // between membership probes
+	QueueLimit    int      `toml:"queue_limit"`    // waiting requests a traffic thread
+	HedgeShare    float64  `toml:"hedge_share"`    // hedges per request
+	RetryShare    float64  `toml:"retry_share"`    // retries per request
+}
+
+// trace says where spans go.
+type trace struct {
+	File     string `toml:"file,omitempty"`
+	Endpoint string `toml:"otlp_endpoint,omitempty"`
+}
+
+// instance is another instance of the system.
+type instance struct {
+	Name       string `toml:"name"`
+	Address    string `toml:"address"`
+	DataCentre string `toml:"data_centre"`
+}
+
+// ledger says where the replicas of a ledger are.
+type ledger struct {
+	ID       string   `toml:"id"`
+	Replicas []string `toml:"replicas"`
+	Prefer   string   `toml:"prefer,omitempty"`
+}
+
+// defaults returns the values of keys that a file leaves out.
+func defaults() file {
+	return file{
+		TrafficThreads: DefaultTrafficThreads,
+		LogLevel:       "info",
+		Limits: limits{
+			CompactAfter: DefaultCompactAfter, StopBound: duration(DefaultStopBound),
+			BalancerPause: duration(DefaultBalancerPause), ItemLease: duration(DefaultItemLease),
+			ProbeInterval: duration(DefaultProbeInterval), QueueLimit: DefaultQueueLimit,
+			HedgeShare: DefaultHedgeShare, RetryShare: DefaultRetryShare,
+		},
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Mark(errors.Newf("%s: %v", path, err), ErrInvalid)
+	}
+	return Parse(path, string(data))
+}
+
+// Parse checks the text of a settings file; path names it in errors.
+func Parse(path, text string) (*Settings, error) {
+	content := defaults()
+	meta, err := toml.Decode(text, &content)
+	if err != nil {
+		return nil, invalid(path, decodeReason(err))
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, invalid(path, fmt.Sprintf("%s: unknown key", unknown[0]))
+	}
+	if reason := content.check(); reason != "" {
+		return nil, invalid(path, reason)
+	}
+	return &Settings{content: content}, nil
+}
+
+// invalid returns the error for a reason that starts with the key.
+func invalid(path, reason string) error {
+	return errors.Mark(errors.Newf("%s: %s", path, reason), ErrInvalid)
+}
+
+// decodeReason shortens a decoding error to one line.
+func decodeReason(err error) string {
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
+		if parse.LastKey != "" {
+			return fmt.Sprintf("%s: line %d: %s", parse.LastKey, parse.Position.Line, oneLine(parse.Message, err))
+		}
+		return fmt.Sprintf("line %d: %s", parse.Position.Line, oneLine(parse.Message, err))
+	}
+	return oneLine("", err)
+}
+
+// oneLine returns a message without line breaks.
+func oneLine(message string, err error) string {
+	if message == "" {
+		message = strings.TrimPrefix(err.Error(), "toml: ")
+	}
+	return strings.Join(strings.Fields(message), " ")
+}
+
+// check returns the first thing that is wrong, as "key: reason", or nothing.
+func (f file) check() string {
+	for _, c := range []struct {
+		bad    bool
+		reason string
+	}{
+		{f.Name == "", "name: missing"},
+		{strings.ContainsAny(f.Name, "#/ "), "name: must not contain #, / or space"},
+		{f.DataCentre == "", "data_centre: missing"},
+		{f.PeerAddress == "", "peer_address: missing"},
+		{f.HTTPAddress == "", "http_address: missing"},
+		{f.PeerAddress == f.HTTPAddress, "http_address: same as peer_address"},
+		{len(f.PeerKeys) == 0 || f.PeerKeys[0] == "", "peer_keys: at least one key is needed"},
+		{f.TrafficThreads < 1 || f.TrafficThreads > maxTrafficThreads, fmt.Sprintf("traffic_threads: must be 1 to %d", maxTrafficThreads)},
+		{f.Limits.QueueLimit < 1, "limits.queue_limit: must be at least 1"},
+		{f.Limits.CompactAfter < 1, "limits.compact_after: must be at least 1"},
+		{f.Limits.ProbeInterval == 0, "limits.probe_interval: must not be zero"},
+		{f.Limits.HedgeShare < 0 || f.Limits.HedgeShare > 1, "limits.hedge_share: must be 0 to 1"},
+		{f.Limits.RetryShare < 0 || f.Limits.RetryShare > 1, "limits.retry_share: must be 0 to 1"},
+		{!validLevel(f.LogLevel), "log_level: must be debug, info, warn or error"},
+	} {
+		if c.bad {
+			return c.reason
+		}
+	}
+	if reason := f.checkAddresses(); reason != "" {
+		return reason
+	}
+	return f.checkLedgers()
+}
+
+// validLevel reports whether a log level has a known name.
+func validLevel(level string) bool {
+	return level == "debug" || level == "info" || level == "warn" || level == "error"
+}
+
+// checkAddresses checks the own addresses and the list of instances.
+func (f file) checkAddresses() string {
+	for key, address := range map[string]string{"peer_address": f.PeerAddress, "http_address": f.HTTPAddress} {
+		if reason := checkAddress(address); reason != "" {
+			return key + ": " + reason
+		}
+	}
+	names, addresses := make(map[string]bool), make(map[string]bool)
+	for n, i := range f.Instances {
+		key := fmt.Sprintf("instance[%d]", n)
+		switch {
+		case i.Name == "":
+			return key + ".name: missing"
+		case i.DataCentre == "":
+			return key + ".data_centre: missing"
+		case names[i.Name]:
+			return key + ".name: duplicate " + i.Name
+		case addresses[i.Address]:
+			return key + ".address: duplicate " + i.Address
+		}
+		if reason := checkAddress(i.Address); reason != "" {
+			return key + ".address: " + reason
+		}
+		names[i.Name], addresses[i.Address] = true, true
+	}
+	if len(f.Instances) > 0 && !names[f.Name] {
+		return "instance: the list lacks this instance, " + f.Name
+	}
+	return ""
+}
+
+// checkAddress returns what is wrong with an IP address and port.
+func checkAddress(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Sprintf("%q is no address with a port", address)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Sprintf("%q is no IP number", host)
+	}
+	return ""
+}
+
+// checkLedgers checks the placement of ledgers.
+func (f file) checkLedgers() string {
+	known := map[string]bool{f.Name: true}
+	for _, i := range f.Instances {
+		known[i.Name] = true
+	}
+	ids := make(map[string]bool)
+	for n, l := range f.Ledgers {
+		key := fmt.Sprintf("ledger[%d]", n)
+		if ids[l.ID] || (l.ID != "config" && !strings.HasPrefix(l.ID, "home/") && !strings.HasPrefix(l.ID, "local/")) {
+			return key + ".id: must be config, home/… or local/…, each once"
+		}
+		ids[l.ID] = true
+		if len(l.Replicas) == 0 {
+			return key + ".replicas: missing"
+		}
+		for _, r := range l.Replicas {
+			if !known[r] {
+				return key + ".replicas: unknown instance " + r
+			}
+			if r == f.Name && f.DataFolder == "" {
+				return "data_folder: missing, this instance holds a replica of " + l.ID
+			}
+		}
+	}
+	if !ids["config"] {
+		return "ledger: a ledger with id config is needed"
+	}
+	return ""
+}
--- /dev/null
+++ b/io/standin/engine.go
@@ -0,0 +1,378 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"papayaquay/io/engine"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Default speeds of an engine.
+const (
+	DefaultSlots     = 8
+	DefaultTokenTime = 8 * time.Millisecond  // between tokens of a lone request
+	DefaultPrefill   = 20 * time.Microsecond // for a prompt byte that is not cached
+	batchSlowdown    = 1.0                   // a full batch doubles the time between tokens
+	prefixBytes      = 256                   // of a prompt that the cache knows it by
+	cachedFactor     = 0.1                   // on the prefill time of a cached prefix
+	defaultCache     = 32                    // prefixes
+	wordsModulus     = 9973                  // distinct generated words
+	maxRequestBytes  = 4 << 20
+)
+
+// Engine is a model engine with continuous batching: every running request
+// gets a token each step, and a step takes longer the more of them run. It
+// admits requests in their order and queues those beyond its slots.
+type Engine struct {
+	id        string
+	recorder  *Recorder
+	slots     int
+	tokenTime time.Duration
+	prefill   time.Duration
+	fences    bool
+
+	slot     chan struct{}
+	queued   atomic.Int32
+	running  atomic.Int32
+	peak     atomic.Int32
+	slow     atomic.Uint64 // float64 bits, factor on all times
+	frozen   atomic.Bool
+	leaving  atomic.Bool
+	poison   atomic.Pointer[string]
+	crashes  atomic.Int32
+	fence    atomic.Uint64
+	restarts sync.Mutex
+
+	mu       sync.Mutex
+	cancels  map[string]chan struct{}
+	prefixes []string
+	cacheHit int
+	cacheAll int
+	loaded   []string
+
+	listener net.Listener
+	server   *http.Server
+	address  string
+}
+
+// EngineOption changes an engine at construction.
+type EngineOption func(*Engine)
+
+// WithSlots sets how many requests run at the same time.
+func WithSlots(slots int) EngineOption { return func(e *Engine) { e.slots = slots } }
+
+// WithSpeed sets the time between tokens of a lone request and the prefill
+// time of a prompt byte.
+func WithSpeed(token, prefill time.Duration) EngineOption {
+	return func(e *Engine) { e.tokenTime, e.prefill = token, prefill }
+}
+
+// WithFences makes the engine refuse orders with an old fencing number.
+func WithFences(fences bool) EngineOption { return func(e *Engine) { e.fences = fences } }
+
+// WithRecorder sets the recorder of runs.
+func WithRecorder(r *Recorder) EngineOption { return func(e *Engine) { e.recorder = r } }
+
+// NewEngine starts an engine on a loopback port.
+func NewEngine(id string, options ...EngineOption) (*Engine, error) {
+	e := &Engine{id: id, recorder: &Recorder{}, slots: DefaultSlots, tokenTime: DefaultTokenTime,
+		prefill: DefaultPrefill, cancels: make(map[string]chan struct{})}
+	for _, option := range options {
+		option(e)
+	}
+	e.slot = make(chan struct{}, e.slots)
+	e.SetSlow(1)
+	return e, e.listen("127.0.0.1:0")
+}
+
+// listen starts to serve on an address.
+func (e *Engine) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	e.listener = listener
+	e.address = listener.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engine.PathCompletions, e.complete)
+	mux.HandleFunc("POST "+engine.PathCancel, e.cancel)
+	mux.HandleFunc("POST "+engine.PathOrders, e.order)
+	mux.HandleFunc("GET "+engine.PathLoad, e.load)
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go e.server.Serve(listener)
+	return nil
+}
+
+// Close ends the engine and cuts its connections.
+func (e *Engine) Close() { e.server.Close() }
+
+// Restart opens the engine again on the same port after Close or a crash.
+func (e *Engine) Restart() error { return e.listen(e.address) }
+
+// ID returns the engine's id.
+func (e *Engine) ID() string { return e.id }
+
+// URL returns the engine's base URL.
+func (e *Engine) URL() string { return "http://" + e.address }
+
+// SetSlow sets a factor on all times; 1 is the normal speed.
+func (e *Engine) SetSlow(factor float64) { e.slow.Store(math.Float64bits(factor)) }
+
+// SetFrozen makes all requests stand still, or go on.
+func (e *Engine) SetFrozen(frozen bool) { e.frozen.Store(frozen) }
+
+// SetLeaving makes the engine say that it takes no new work.
+func (e *Engine) SetLeaving(leaving bool) { e.leaving.Store(leaving) }
+
+// SetPoison makes requests whose prompt contains text crash the engine; it
+// comes back after a moment.
+func (e *Engine) SetPoison(text string) { e.poison.Store(&text) }
+
+// Crashes returns how often the engine crashed.
+func (e *Engine) Crashes() int { return int(e.crashes.Load()) }
+
+// Running returns the number of running requests.
+func (e *Engine) Running() int { return int(e.running.Load()) }
+
+// Queued returns the number of requests that wait for a slot.
+func (e *Engine) Queued() int { return int(e.queued.Load()) }
+
+// Peak returns the greatest number of requests that ran or waited together.
+func (e *Engine) Peak() int { return int(e.peak.Load()) }
+
+// CacheUse returns how many requests found their prefix cached, and how many
+// had one.
+func (e *Engine) CacheUse() (hits, all int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cacheHit, e.cacheAll
+}
+
+// Word returns word i of the answer to a prompt. Answers depend on the prompt
+// only, so that every run and every resumed run gives the same text.
+func Word(prompt string, i int) string {
+	h := xxhash.Sum64String(prompt)
+	return fmt.Sprintf("w%d ", (h>>7+uint64(i)*2654435761)%wordsModulus)
+}
+
+// Expected returns the whole answer to a prompt.
+func Expected(prompt string, tokens int) string {
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(Word(prompt, i))
+	}
+	return text.String()
+}
+
+// complete serves a completion request.
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var c engine.Completion
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c); err != nil || c.ID == "" {
+		refuse(w, http.StatusBadRequest, "malformed request")
+		return
+	}
+	if e.leaving.Load() {
+		refuse(w, http.StatusServiceUnavailable, "leaving")
+		return
+	}
+	stop := make(chan struct{})
+	e.mu.Lock()
+	e.cancels[c.ID] = stop
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.cancels, c.ID)
+		e.mu.Unlock()
+	}()
+	e.recorder.add(Run{Backend: e.id, ID: c.ID, Prompt: c.Prompt, Resume: c.Resume})
+	if !e.admit(r, stop) {
+		return
+	}
+	defer func() { <-e.slot; e.running.Add(-1) }()
+	e.generate(w, r, c, stop)
+}
+
+// admit waits for a slot, in the order of arrival.
+func (e *Engine) admit(r *http.Request, stop chan struct{}) bool {
+	together := e.queued.Add(1) + e.running.Load()
+	for {
+		peak := e.peak.Load()
+		if together <= peak || e.peak.CompareAndSwap(peak, together) {
+			break
+		}
+	}
+	defer e.queued.Add(-1)
+	select {
+	case e.slot <- struct{}{}:
+		e.running.Add(1)
+		return true
+	case <-r.Context().Done():
+	case <-stop:
+	}
+	return false
+}
+
+// generate streams the answer.
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request, c engine.Completion, stop chan struct{}) {
+	if poison := e.poison.Load(); poison != nil && strings.Contains(c.Prompt, *poison) {
+		e.crash()
+		return
+	}
+	if !e.pause(r, stop, e.prefillTime(c.Prompt)) {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	done := len(strings.Fields(c.Resume))
+	for i := range c.MaxTokens {
+		if !e.pause(r, stop, e.stepTime()) {
+			return
+		}
+		if !e.send(w, engine.Chunk{ID: c.ID, Text: Word(c.Prompt, done+i), Tokens: 1}) {
+			return
+		}
+	}
+	e.send(w, engine.Chunk{ID: c.ID, Done: true})
+}
+
+// send writes one event.
+func (e *Engine) send(w http.ResponseWriter, chunk engine.Chunk) bool {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
+
+// factor returns the present factor on all times.
+func (e *Engine) factor() float64 { return math.Float64frombits(e.slow.Load()) }
+
+// stepTime returns the time of one token with the present batch.
+func (e *Engine) stepTime() time.Duration {
+	share := float64(e.running.Load()) / float64(e.slots)
+	return time.Duration(float64(e.tokenTime) * (1 + batchSlowdown*share) * e.factor())
+}
+
+// prefillTime returns the time to take in a prompt and caches its prefix.
+func (e *Engine) prefillTime(prompt string) time.Duration {
+	full := float64(e.prefill) * float64(len(prompt)) * e.factor()
+	if len(prompt) < prefixBytes {
+		return time.Duration(full)
+	}
+	prefix := prompt[:prefixBytes]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cacheAll++
+	at := slices.Index(e.prefixes, prefix)
+	if at >= 0 {
+		e.cacheHit++
+		e.prefixes = slices.Delete(e.prefixes, at, at+1)
+		full *= cachedFactor
+	}
+	e.prefixes = append(e.prefixes, prefix)
+	if len(e.prefixes) > defaultCache {
+		e.prefixes = e.prefixes[1:]
+	}
+	return time.Duration(full)
+}
+
+// pause waits; it reports false when the request is cancelled.
+func (e *Engine) pause(r *http.Request, stop chan struct{}, d time.Duration) bool {
+	const frozenStep = 20 * time.Millisecond
+	for {
+		timer := time.NewTimer(d)
+		select {
+		case <-timer.C:
+		case <-r.Context().Done():
+			timer.Stop()
+			return false
+		case <-stop:
+			timer.Stop()
+			return false
+		}
+		if !e.frozen.Load() {
+			return true
+		}
+		d = frozenStep
+	}
+}
+
+// crash cuts all connections and comes back after a moment.
+func (e *Engine) crash() {
+	const downTime = 300 * time.Millisecond
+	e.restarts.Lock()
+	defer e.restarts.Unlock()
+	e.crashes.Add(1)
+	e.server.Close()
+	time.AfterFunc(downTime, func() {
+		e.restarts.Lock()
+		defer e.restarts.Unlock()
+		_ = e.listen(e.address)
+	})
+}
+
+// cancel serves a cancellation.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	var c engine.Cancellation
+	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c) != nil {
+		refuse(w, http.StatusBadRequest, "malformed cancellation")
+		return
+	}
+	e.mu.Lock()
+	if stop := e.cancels[c.ID]; stop != nil {
+		close(stop)
+		delete(e.cancels, c.ID)
+	}
+	e.mu.Unlock()
+}
+
+// order serves an order to load models.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o engine.Order
+	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&o) != nil {
+		refuse(w, http.StatusBadRequest, "malformed order")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	taken := !e.fences || o.Fence >= e.fence.Load()
+	e.recorder.addOrder(OrderSeen{Backend: e.id, Fence: o.Fence, Load: o.Load, Taken: taken})
+	if !taken {
+		refuse(w, http.StatusConflict, "old fencing number")
+		return
+	}
+	e.fence.Store(max(e.fence.Load(), o.Fence))
+	e.loaded = o.Load
+	_ = json.NewEncoder(w).Encode(engine.OrderReply{Fence: e.fence.Load(), Loaded: e.loaded})
+}
+
+// Loaded returns the models that orders loaded.
+func (e *Engine) Loaded() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.loaded)
+}
+
+// load serves the load report.
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(engine.LoadReport{Running: e.Running(), Queued: e.Queued(), Leaving: e.leaving.Load()})
+}
+
+// refuse answers with an error status.
+func refuse(w http.ResponseWriter, status int, reason string) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(engine.Refusal{Error: reason})
+}
--- /dev/null
+++ b/io/standin/layout.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Place is one instance of a layout on this machine.
+type Place struct {
+	Name       string
+	DataCentre string
+	Peer       string // address for other instances
+	HTTP       string // address for callers
+	Folder     string // data folder, empty without a disk
+}
+
+// URL returns the base URL for callers.
+func (p Place) URL() string { return "http://" + p.HTTP }
+
+// Layout is a system on this machine: instances in data centres, the first of
+// each data centre with a disk.
+type Layout struct {
+	places []Place
+	extra  string // lines of each settings file
+	dial   map[string]string
+}
+
+// NewLayout returns a layout with perCentre instances in each data centre and
+// data folders below folder. extra is added to each settings file.
+func NewLayout(folder string, centres []string, perCentre int, extra string) (*Layout, error) {
+	l := &Layout{extra: extra, dial: make(map[string]string)}
+	for _, centre := range centres {
+		for n := range perCentre {
+			addresses, err := freeAddresses(2)
+			if err != nil {
+				return nil, err
+			}
+			place := Place{Name: fmt.Sprintf("%s-%d", centre, n+1), DataCentre: centre, Peer: addresses[0], HTTP: addresses[1]}
+			if n == 0 {
+				place.Folder = filepath.Join(folder, place.Name)
+			}
+			l.places = append(l.places, place)
+		}
+	}
+	return l, nil
+}
+
+// freeAddresses returns unused loopback addresses.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Places returns the instances.
+func (l *Layout) Places() []Place { return l.places }
+
+// URLs returns the base URLs of all instances.
+func (l *Layout) URLs() []string {
+	var urls []string
+	for _, p := range l.places {
+		urls = append(urls, p.URL())
+	}
+	return urls
+}
+
+// Reach sets the address under which other instances know an instance, such as
+// a proxy's.
+func (l *Layout) Reach(name, address string) { l.dial[name] = address }
+
+// disks returns the instances with a disk, those of one data centre if given.
+func (l *Layout) disks(centre string) []Place {
+	var places []Place
+	for _, p := range l.places {
+		if p.Folder != "" && (centre == "" || p.DataCentre == centre) {
+			places = append(places, p)
+		}
+	}
+	return places
+}
+
+// Settings returns the settings file of one instance.
+func (l *Layout) Settings(p Place) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\ndata_centre = %q\npeer_address = %q\nhttp_address = %q\npeer_keys = [\"loopback\"]\n", p.Name, p.DataCentre, p.Peer, p.HTTP)
+	if p.Folder != "" {
+		fmt.Fprintf(&b, "data_folder = %q\n", p.Folder)
+	}
+	b.WriteString(l.extra)
+	for _, other := range l.places {
+		address := other.Peer
+		if proxy := l.dial[other.Name]; proxy != "" && other.Name != p.Name {
+			address = proxy
+		}
+		fmt.Fprintf(&b, "\n[[instance]]\nname = %q\naddress = %q\ndata_centre = %q\n", other.Name, address, other.DataCentre)
+	}
+	l.writeLedgers(&b)
+	return b.String()
+}
+
+// writeLedgers writes the placement: the configuration ledger and a home
+// ledger for each data centre on all disks, and a local ledger on each data
+// centre's own.
+func (l *Layout) writeLedgers(b *strings.Builder) {
+	var all []string
+	for _, p := range l.disks("") {
+		all = append(all, fmt.Sprintf("%q", p.Name))
+	}
+	odd := all[:len(all)-(len(all)+1)%2]
+	fmt.Fprintf(b, "\n[[ledger]]\nid = \"config\"\nreplicas = [%s]\n", strings.Join(odd, ", "))
+	seen := make(map[string]bool)
+	for _, p := range l.places {
+		if seen[p.DataCentre] {
+			continue
+		}
+		seen[p.DataCentre] = true
+		fmt.Fprintf(b, "\n[[ledger]]\nid = \"home/%s\"\nreplicas = [%s]\nprefer = %q\n", p.DataCentre, strings.Join(odd, ", "), p.Name)
+		if own := l.disks(p.DataCentre); len(own) > 0 {
+			fmt.Fprintf(b, "\n[[ledger]]\nid = \"local/%s\"\nreplicas = [%q]\n", p.DataCentre, own[0].Name)
+		}
+	}
+}
--- /dev/null
+++ b/io/standin/plain.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"papayaquay/io/plain"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Plain is a plain service that answers with its input in upper case.
+type Plain struct {
+	id       string
+	recorder *Recorder
+	delay    time.Duration
+	server   *http.Server
+	address  string
+}
+
+// NewPlain starts a plain service on a loopback port; each call takes delay.
+func NewPlain(id string, delay time.Duration, recorder *Recorder) (*Plain, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	p := &Plain{id: id, recorder: recorder, delay: delay, address: listener.Addr().String()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+plain.PathCall, p.call)
+	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go p.server.Serve(listener)
+	return p, nil
+}
+
+// call serves one call. A call that started runs to its end, whatever becomes
+// of the caller.
+func (p *Plain) call(w http.ResponseWriter, r *http.Request) {
+	var c plain.Call
+	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c) != nil {
+		refuse(w, http.StatusBadRequest, "malformed call")
+		return
+	}
+	p.recorder.add(Run{Backend: p.id, ID: c.ID, Prompt: c.Input})
+	time.Sleep(p.delay)
+	_ = json.NewEncoder(w).Encode(plain.Answer{ID: c.ID, Output: strings.ToUpper(c.Input)})
+}
+
+// ID returns the service's id.
+func (p *Plain) ID() string { return p.id }
+
+// URL returns the service's base URL.
+func (p *Plain) URL() string { return "http://" + p.address }
+
+// Close ends the service and cuts its connections.
+func (p *Plain) Close() { p.server.Close() }
