--- /dev/null
+++ b/client.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"papayaquay/io/rpc"
+	"papayaquay/proto/papayaquay/v1/papayaquayv1connect"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// defaultEntry is where commands look for an instance.
+const defaultEntry = "http://127.0.0.1:8080"
+
+// clientFlags are the flags of commands that talk to an instance.
+func clientFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "entry", Value: defaultEntry, Usage: "base URL of an instance or the balancer", Sources: cli.EnvVars("PAPAYAQUAY_ENTRY")},
+		&cli.StringFlag{Name: "account", Usage: "caller account", Sources: cli.EnvVars("PAPAYAQUAY_ACCOUNT")},
+		&cli.StringFlag{Name: "secret", Usage: "secret of the account", Sources: cli.EnvVars("PAPAYAQUAY_SECRET")},
+		&cli.StringFlag{Name: "operator-secret", Usage: "operator secret", Sources: cli.EnvVars("PAPAYAQUAY_OPERATOR_SECRET")},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+	}, more...)
+}
+
+// callerClient returns a client for callers.
+func callerClient(c *cli.Command) papayaquayv1connect.CallerServiceClient {
+	return papayaquayv1connect.NewCallerServiceClient(http.DefaultClient, c.String("entry"))
+}
+
+// operatorClient returns a client for operators.
+func operatorClient(c *cli.Command) papayaquayv1connect.OperatorServiceClient {
+	return papayaquayv1connect.NewOperatorServiceClient(http.DefaultClient, c.String("entry"))
+}
+
+// newRequest wraps a message and sets the headers of the command's flags.
+func newRequest[T any](c *cli.Command, message *T) *connect.Request[T] {
+	request := connect.NewRequest(message)
+	for header, flag := range map[string]string{rpc.HeaderAccount: "account", rpc.HeaderSecret: "secret", rpc.HeaderOperatorSecret: "operator-secret"} {
+		if value := c.String(flag); value != "" {
+			request.Header().Set(header, value)
+		}
+	}
+	return request
+}
+
+// printMessage prints a schema message as one line of JSON.
+func printMessage(w io.Writer, message proto.Message) error {
+	data, err := protojson.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode JSON")
+	}
+	_, err = fmt.Fprintln(w, string(data))
+	return errors.Wrap(err, "print")
+}
+
+// printJSON prints a value as indented JSON.
+func printJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(value), "print")
+}
+
+// newOperation makes an operation id.
+func newOperation() string { return rand.Text() }
+
+// millis returns a time span for the schema.
+func millis(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/version.go
@@ -0,0 +1,4 @@
+package main
+
+// version is the version of the program.
+const version = "0.1.0"
