--- a/client.go
+++ b/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -63,13 +62,6 @@
 	return errors.Wrap(err, "print")
 }
 
-// printJSON prints a value as indented JSON.
-func printJSON(w io.Writer, value any) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(value), "print")
-}
-
 // newOperation makes an operation id.
 func newOperation() string { return rand.Text() }
 
--- a/core/control/system_serve.go
+++ b/core/control/system_serve.go
@@ -42,7 +42,7 @@
 	}
 	switch call.kind {
 	case CallApply:
-		w.serveApply(now, number, row, hosted.state)
+		w.serveApply(number, row, hosted.state)
 	case CallLookup:
 		w.serveLookup(now, number, row, hosted.state)
 	case CallClaim:
@@ -57,7 +57,7 @@
 }
 
 // serveApply commits a home command, unless its reply is known without.
-func (w *World) serveApply(now time.Time, number uint64, row *callRow, state *home.State) {
+func (w *World) serveApply(number uint64, row *callRow, state *home.State) {
 	command := row.call.command
 	switch command.Kind() {
 	case home.CommandLease:
--- a/core/control/world.go
+++ b/core/control/world.go
@@ -34,10 +34,9 @@
 
 // homeRow is a hosted home ledger.
 type homeRow struct {
-	state     *home.State
-	encoding  bool // a snapshot is being encoded
-	expiring  bool // an expire command is under way
-	expireDue time.Time
+	state    *home.State
+	encoding bool // a snapshot is being encoded
+	expiring bool // an expire command is under way
 }
 
 // World is the control world. It belongs to one goroutine.
--- a/core/ledger/replica.go
+++ b/core/ledger/replica.go
@@ -108,6 +108,18 @@
 	return ok && m.voter
 }
 
+// voters returns the number of voters.
+func (r *replicaRow) voters() int {
+	members, _ := r.log.members()
+	count := 0
+	for _, m := range members {
+		if m.voter {
+			count++
+		}
+	}
+	return count
+}
+
 // quorum reports whether a majority of the voters satisfies agrees.
 func (r *replicaRow) quorum(agrees func(Member) bool) bool {
 	members, _ := r.log.members()
--- a/core/ledger/system_elect.go
+++ b/core/ledger/system_elect.go
@@ -18,7 +18,7 @@
 		return
 	}
 	row.electionDue = now.Add(w.electionTimeout())
-	if !row.isVoter() {
+	if !row.isVoter() || w.passive {
 		return
 	}
 	row.role = RolePreCandidate
--- a/core/ledger/system_transfer.go
+++ b/core/ledger/system_transfer.go
@@ -40,7 +40,7 @@
 
 // receiveTransfer starts an election at the leader's request.
 func (w *World) receiveTransfer(now time.Time, row *replicaRow, m Message) {
-	if m.term != row.term || !row.isVoter() {
+	if m.term != row.term || !row.isVoter() || w.passive {
 		return
 	}
 	row.force = true
@@ -49,12 +49,15 @@
 }
 
 // HandOver gives the lead of every ledger led here to another instance, as far
-// as one is up to date, and reports how many are still led here.
+// as one is up to date, and reports how many are still led here; a ledger with
+// one voter cannot be handed over and does not count. This instance
+// does not stand for election any more.
 func (w *World) HandOver(now time.Time) int {
+	w.passive = true
 	left := 0
 	w.replicas.Each(func(_ ID, row *replicaRow) {
 		row.prefer = ""
-		if row.role == RoleLeader && !w.handOver(now, row, "") {
+		if row.role == RoleLeader && row.voters() > 1 && !w.handOver(now, row, "") {
 			left++
 		}
 	})
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -11,10 +11,10 @@
 
 // Default protocol timing and sizes.
 const (
-	DefaultHeartbeat   = 100 * time.Millisecond
-	DefaultElectionMin = 600 * time.Millisecond
-	DefaultElectionMax = 1200 * time.Millisecond
-	DefaultLease       = 400 * time.Millisecond
+	DefaultHeartbeat       = 150 * time.Millisecond
+	DefaultElectionFloor   = 700 * time.Millisecond
+	DefaultElectionCeiling = 1300 * time.Millisecond
+	DefaultLease           = 500 * time.Millisecond
 
 	appendEntries   = 512     // entries in one message
 	appendBytes     = 1 << 20 // payload bytes in one message
@@ -48,6 +48,7 @@
 	replicas *table.Table[ID, replicaRow]
 	progress *table.Table[progressKey, progressRow]
 
+	passive   bool // never stands for election
 	beatDue   time.Time
 	beat      bool   // a heartbeat is due in this tick
 	sequence  uint64 // last batch of records handed out
@@ -111,8 +112,8 @@
 		instance:    instance,
 		random:      rand.New(rand.NewPCG(1, 1)),
 		heartbeat:   DefaultHeartbeat,
-		electionMin: DefaultElectionMin,
-		electionMax: DefaultElectionMax,
+		electionMin: DefaultElectionFloor,
+		electionMax: DefaultElectionCeiling,
 		lease:       DefaultLease,
 		replicas:    table.New[ID, replicaRow](),
 		progress:    table.New[progressKey, progressRow](),
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -144,9 +144,6 @@
 	tries    int
 	crashes  int
 	hedged   bool
-	yield    bool
-	stopped  bool
-	local    bool
 	answer   home.Answer
 }
 
--- a/demo.go
+++ b/demo.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	took := time.Since(begin)
-	done, err := d.checkResults(items)
+	done, err := d.checkResults()
 	if err != nil {
 		return err
 	}
@@ -196,7 +196,7 @@
 }
 
 // checkResults reads all answers of the job and returns how many are right.
-func (d *demo) checkResults(items int) (int, error) {
+func (d *demo) checkResults() (int, error) {
 	stream, err := d.client(2).ListResults(d.ctx, connect.NewRequest(&papayaquayv1.ListResultsRequest{Job: "demo-job"}))
 	if err != nil {
 		return 0, errors.Wrap(err, "job results")
