--- a/core/ledger/system_form.go
+++ b/core/ledger/system_form.go
@@ -9,12 +9,12 @@
 // configured instance, and only while every configured instance answers that
 // it is fresh too; a replica that meets a formed ledger joins it instead.
 func (w *World) form(now time.Time, row *replicaRow) {
-	if row.role != RoleFresh || now.Before(row.helloDue) {
+	if now.Before(row.helloDue) {
 		return
 	}
 	row.helloDue = now.Add(helloInterval)
 	if row.formed() {
-		row.role = RoleFollower
+		w.rejoin(now, row)
 		return
 	}
 	joined := false
@@ -34,6 +34,20 @@
 	}
 }
 
+// rejoin asks to be taken in while no leader is heard or the newest member list
+// lacks this replica: a change that added it may have been lost with its
+// leader, here or there. A leader ignores members that ask.
+func (w *World) rejoin(now time.Time, row *replicaRow) {
+	if row.role == RoleFresh {
+		row.role = RoleFollower
+	}
+	_, listed := row.member(row.self)
+	silent := row.role != RoleLeader && now.Sub(row.heardLeader) > w.electionMax
+	if !listed || silent {
+		w.join(row)
+	}
+}
+
 // allFresh reports whether every other configured instance said lately that it
 // is fresh.
 func (w *World) allFresh(now time.Time, row *replicaRow) bool {
