--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -49,6 +49,7 @@
 	homes    []ledger.ID
 	suspects map[uint64]int
 	draining bool
+	loaded   bool
 	entries  int
 	local    ledger.ID
 }
@@ -66,6 +67,9 @@
 	return func(s *Snapshot) { s.draining = draining }
 }
 
+// WithLoaded tells that the configuration was received.
+func WithLoaded(loaded bool) SnapshotOption { return func(s *Snapshot) { s.loaded = loaded } }
+
 // WithEntries sets the number of live instances.
 func WithEntries(entries int) SnapshotOption { return func(s *Snapshot) { s.entries = entries } }
 
@@ -101,5 +105,8 @@
 // Local returns the local ledger of this data centre, or nothing.
 func (s *Snapshot) Local() ledger.ID { return s.local }
 
+// Loaded reports whether the configuration was received since the start.
+func (s *Snapshot) Loaded() bool { return s.loaded }
+
 // Draining reports whether the instance shuts down.
 func (s *Snapshot) Draining() bool { return s.draining }
--- a/core/control/status.go
+++ b/core/control/status.go
@@ -89,6 +89,9 @@
 			note("ledger %s is led here without a quorum", l.Ledger())
 		}
 	}
+	if !w.loaded {
+		note("the configuration was not received yet")
+	}
 	if w.diskErr != nil {
 		note("the disk refuses writes: %v", w.diskErr)
 	}
--- a/core/control/system_batch.go
+++ b/core/control/system_batch.go
@@ -15,8 +15,9 @@
 type itemRow struct {
 	home       ledger.ID
 	leased     home.Leased
-	backend    string // where it runs, empty while it waits
-	dataCentre string // of that backend server
+	backend    string    // where it runs, empty while it waits
+	dataCentre string    // of that backend server
+	since      time.Time // when it began to wait
 	prefix     string
 	tokens     int
 	tries      int
@@ -24,6 +25,11 @@
 	cancelled  bool // stopped for good
 }
 
+// pauseRow keeps items from a backend server that refused one.
+type pauseRow struct {
+	until time.Time
+}
+
 // pollRow is the lease traffic with one home ledger.
 type pollRow struct {
 	due         time.Time
@@ -47,10 +53,21 @@
 		w.batchDue.ArmBefore(now.Add(pollInterval))
 		free := w.dispatchItems(now)
 		w.pollHomes(now, free)
+		w.giveBack(now)
 	}
 	w.flushItems(now)
 }
 
+// giveBack releases items that found no slot in time, so that another data
+// centre can run them.
+func (w *World) giveBack(now time.Time) {
+	w.items.Each(func(number uint64, item *itemRow) {
+		if item.backend == "" && now.Sub(item.since) > itemWait {
+			w.releaseItem(number, item)
+		}
+	})
+}
+
 // takeRole updates the data centres whose batch slots this instance owns. At
 // the end of a role the items running there stop, since another instance owns
 // the slots then; without any role all items are given back.
@@ -92,7 +109,7 @@
 	waiting := w.waitingItems()
 	free := 0
 	for _, b := range w.members.Backends() {
-		if !w.roles[b.DataCentre()] || b.Gone() || b.Leaving() {
+		if !w.roles[b.DataCentre()] || b.Gone() || b.Leaving() || w.paused(now, b.ID()) {
 			continue
 		}
 		slots := w.batchSlots(now, b) - len(running[b.ID()])
@@ -111,6 +128,16 @@
 	return free
 }
 
+// paused reports whether a backend server refused an item lately.
+func (w *World) paused(now time.Time, backend string) bool {
+	row := w.pauses.Get(backend)
+	if row != nil && !now.Before(row.until) {
+		w.pauses.Remove(backend)
+		return false
+	}
+	return row != nil
+}
+
 // runningItems returns the running items by backend server, oldest first.
 func (w *World) runningItems() map[string][]uint64 {
 	running := make(map[string][]uint64)
@@ -198,7 +225,7 @@
 	for _, leased := range r.reply.Leased() {
 		if w.findItem(leased) == 0 {
 			w.lastItem++
-			w.items.Put(w.lastItem, itemRow{home: id, leased: leased})
+			w.items.Put(w.lastItem, itemRow{home: id, leased: leased, since: w.tickTime})
 		}
 	}
 	for _, key := range r.reply.Cancelled() {
@@ -253,6 +280,10 @@
 	case r.yielded && (len(w.roles) == 0 || item.cancelled):
 		w.releaseItem(r.number, item)
 	case r.yielded:
+		if !item.stopped {
+			w.pauses.Put(item.backend, pauseRow{until: now.Add(backendPause)})
+		}
+		item.since = now
 		item.backend, item.prefix, item.tokens, item.stopped = "", r.answer.Text(), r.answer.Tokens(), false
 	case r.failed:
 		w.failItem(now, r, item)
@@ -276,7 +307,7 @@
 		w.answerItem(r.number, item, home.NewAnswer(outcome.Refused, "", 0, "all attempts failed", item.backend, now))
 		return
 	}
-	item.backend, item.stopped = "", false
+	item.backend, item.since, item.stopped = "", now, false
 	item.prefix, item.tokens = r.answer.Text(), r.answer.Tokens()
 }
 
--- a/core/control/system_follow.go
+++ b/core/control/system_follow.go
@@ -29,7 +29,13 @@
 // followHosted advances the view of an instance that hosts the configuration
 // ledger.
 func (w *World) followHosted(_ time.Time) {
-	if w.configState == nil || w.configState.Revision() <= w.view.Revision() {
+	if w.configState == nil {
+		return
+	}
+	if !w.loaded && w.ledgers.CaughtUp(ConfigLedger) {
+		w.loaded, w.stale = true, true
+	}
+	if w.configState.Revision() <= w.view.Revision() {
 		return
 	}
 	changed, ok := w.configState.Since(w.view.Revision())
@@ -107,6 +113,8 @@
 func (w *World) receivePush(now time.Time, from string, push Push) {
 	if push.full || push.number == w.follow.number {
 		w.advance(push.revision, push.objects)
+		w.stale = w.stale || !w.loaded
+		w.loaded = true
 	}
 	if push.number == w.follow.number && from == w.follow.upstream {
 		w.follow.failures, w.follow.upstream = 0, ""
@@ -118,7 +126,7 @@
 // servePulls answers pulls that have something newer or were held long enough.
 func (w *World) servePulls(now time.Time) {
 	w.pulls.Each(func(key pullKey, row *pullRow) {
-		if w.view.Revision() <= row.pull.revision && now.Before(row.until) {
+		if !w.loaded || w.view.Revision() <= row.pull.revision && now.Before(row.until) {
 			w.routeDue.ArmBefore(row.until)
 			return
 		}
--- a/core/control/system_publish.go
+++ b/core/control/system_publish.go
@@ -25,7 +25,7 @@
 	suspects := make(map[uint64]int, w.suspects.Len())
 	w.suspects.Each(func(fingerprint uint64, row *suspectRow) { suspects[fingerprint] = row.crashes })
 	w.publish(NewSnapshot(w.view, targets, w.homes, WithSuspects(suspects),
-		WithDraining(w.draining), WithEntries(w.liveInstances()), WithLocal(w.localLedger())))
+		WithDraining(w.draining), WithLoaded(w.loaded), WithEntries(w.liveInstances()), WithLocal(w.localLedger())))
 }
 
 // liveInstances counts the instances that are not known to be lost.
--- a/core/control/world.go
+++ b/core/control/world.go
@@ -30,6 +30,8 @@
 	demandExpiry   = 3 * time.Second
 	pollInterval   = 250 * time.Millisecond // between lease polls of a home ledger
 	maxItemTries   = 3
+	itemWait       = 1500 * time.Millisecond // for a slot before an item is given back
+	backendPause   = 500 * time.Millisecond  // without items for a server that refused one
 )
 
 // homeRow is a hosted home ledger.
@@ -88,11 +90,15 @@
 	lastItem uint64
 	roles    map[string]bool // data centres whose batch slots are owned here
 	suspects *table.Table[uint64, suspectRow]
+	strays   *table.Table[strayKey, strayRow]
+	pauses   *table.Table[string, pauseRow]
 	outbox   *table.Table[string, Packet]
 	draining bool
+	loaded   bool // the configuration was received since the start
 	drained  func(Drain)
 	diskErr  error
 
+	moveDue   *timer.Subscription
 	batchDue  *timer.Subscription
 	demandDue *timer.Subscription
 	pullDue   *timer.Subscription
@@ -189,6 +195,8 @@
 		polls:        table.New[ledger.ID, pollRow](),
 		flushes:      table.New[ledger.ID, flushRow](),
 		suspects:     table.New[uint64, suspectRow](),
+		strays:       table.New[strayKey, strayRow](),
+		pauses:       table.New[string, pauseRow](),
 		outbox:       table.New[string, Packet](),
 		stale:        true,
 		noted:        make(map[string]backendNote),
@@ -220,6 +228,8 @@
 
 // subscribe registers the parts that act on deadlines.
 func (w *World) subscribe(now time.Time) {
+	w.moveDue = w.timers.Subscribe("move", w.moveStrays)
+	w.moveDue.Arm(now.Add(moveInterval))
 	w.routeDue = w.timers.Subscribe("route", func(time.Time) {})
 	w.wakeDue = w.timers.Subscribe("wake", func(time.Time) { w.wake = true })
 	w.pullDue = w.timers.Subscribe("pull", w.pull)
--- a/core/home/command.go
+++ b/core/home/command.go
@@ -15,6 +15,7 @@
 	CommandComplete                         // store answers to items, the first one wins
 	CommandRelease                          // give items back
 	CommandSuspect                          // count a crash against a fingerprint
+	CommandForget                           // drop an answer that was moved to its home ledger
 	CommandExpire                           // drop what is older than its retention
 )
 
--- a/core/home/state.go
+++ b/core/home/state.go
@@ -93,6 +93,9 @@
 		return s.release(c)
 	case CommandSuspect:
 		return s.suspect(c)
+	case CommandForget:
+		s.requests.Remove(c.key)
+		return NewReply(outcome.OK, "")
 	case CommandExpire:
 		return s.expire(c)
 	default:
@@ -204,6 +207,18 @@
 	return NewReply(outcome.OK, "", WithStatus(job.status(key)))
 }
 
+// Strays returns up to limit answered keys, for a local ledger that hands them
+// to their home ledgers.
+func (s *State) Strays(limit int) []Completion {
+	var strays []Completion
+	s.requests.Each(func(key Key, row *requestRow) {
+		if len(strays) < limit && row.answer.code != outcome.Pending {
+			strays = append(strays, NewCompletion(key, 0, row.answer))
+		}
+	})
+	return strays
+}
+
 // Crashes reads the crash count of a fingerprint.
 func (s *State) Crashes(fingerprint uint64) int {
 	if row := s.suspects.Get(fingerprint); row != nil {
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -71,6 +71,13 @@
 	return row.leaderInstance
 }
 
+// CaughtUp reports whether a leader is known and all that it said to be
+// committed is applied here.
+func (w *World) CaughtUp(ledger ID) bool {
+	row := w.replicas.Get(ledger)
+	return row != nil && row.leader != "" && row.commit > 0 && row.applied == row.commit
+}
+
 // Uncompacted returns how many applied entries the log of a ledger holds.
 func (w *World) Uncompacted(ledger ID) uint64 {
 	row := w.replicas.Get(ledger)
--- a/core/traffic/system_admit.go
+++ b/core/traffic/system_admit.go
@@ -34,7 +34,7 @@
 // admit checks whether a request may start: the instance, the service, the
 // account's limits, the content's crash count and the queue.
 func (w *World) admit(now time.Time, request Request) error {
-	if w.known.Draining() {
+	if w.known.Draining() || !w.known.Loaded() {
 		return outcome.ErrRetryLater
 	}
 	if _, ok := w.known.View().Get(config.NewRef(config.KindService, request.service)); !ok {
--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -54,6 +54,9 @@
 		}
 		items = append(items, home.NewItem(part.GetPrompt(), maxTokens))
 	}
+	if !s.snapshot().Loaded() {
+		return nil, outcome.ErrRetryLater
+	}
 	if _, ok := s.snapshot().View().Get(config.NewRef(config.KindService, service)); !ok {
 		return nil, errors.Wrapf(outcome.ErrNotFound, "service %s", service)
 	}
