Cuts between data centres, silent, loud, one way and two against two

Cause: the cut points needed a proof. Found by it: a short answer that was complete before the claim on its key was settled came without its text pieces; instances kept the address that others spread instead of the one in their settings, so that a proxy or translated address was used only at first. Ruled out: lost text in the engine client. Change: the stored answer settles the claim and the rest of the text is passed on before the final message; addresses in settings win; proxies for each (data centre, instance); ports of layouts below the system's own range.

--- a/core/control/receive.go
+++ b/core/control/receive.go
@@ -84,8 +84,7 @@
 		p.members = append(p.members, m)
 	}
 	w.outbox.Each(func(to string, p *Packet) {
-		if instance, ok := w.members.Get(to); ok {
-			p.address = instance.Address()
+		if p.address = w.members.AddressOf(to); p.address != "" {
 			w.send(*p)
 		}
 		w.outbox.Remove(to)
--- a/core/member/world.go
+++ b/core/member/world.go
@@ -70,6 +70,7 @@
 	random    *rand.Rand
 	interval  time.Duration
 	instances *table.Table[string, instanceRow]
+	addresses map[string]string // from settings, by instance
 	backends  *table.Table[string, backendRow]
 	probes    *table.Table[uint64, probeRow]
 	rumors    *table.Table[rumorKey, rumorRow]
@@ -99,6 +100,7 @@
 	return func(w *World) {
 		for _, seed := range seeds {
 			if seed.name != w.self.name {
+				w.addresses[seed.name] = seed.address
 				w.instances.Put(seed.name, instanceRow{instance: seed, seed: true})
 			}
 		}
@@ -112,6 +114,7 @@
 		random:    rand.New(rand.NewPCG(1, 2)),
 		interval:  DefaultProbeInterval,
 		instances: table.New[string, instanceRow](),
+		addresses: make(map[string]string),
 		backends:  table.New[string, backendRow](),
 		probes:    table.New[uint64, probeRow](),
 		rumors:    table.New[rumorKey, rumorRow](),
@@ -176,6 +179,18 @@
 	return row.instance, true
 }
 
+// AddressOf returns the peer address of an instance: the one in the settings,
+// else the one that the instance spreads.
+func (w *World) AddressOf(name string) string {
+	if address := w.addresses[name]; address != "" {
+		return address
+	}
+	if row := w.instances.Get(name); row != nil {
+		return row.instance.address
+	}
+	return ""
+}
+
 // Instances returns all known instances.
 func (w *World) Instances() []Instance {
 	instances := make([]Instance, 0, w.instances.Len())
--- a/core/traffic/system_finish.go
+++ b/core/traffic/system_finish.go
@@ -41,6 +41,10 @@
 	}
 	answer := r.Reply().Answer()
 	ours := answer.Code() == row.answer.Code() && answer.Text() == row.answer.Text()
+	if ours {
+		row.claim = claimGranted // the stored answer settles whose text counts
+		w.pass(now, row)
+	}
 	w.finish(number, row, Event{kind: EventFinal, answer: answer, replaced: !ours, local: local})
 }
 
--- a/io/standin/layout.go
+++ b/io/standin/layout.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -26,13 +28,19 @@
 type Layout struct {
 	places []Place
 	extra  string // lines of each settings file
-	dial   map[string]string
+	dial   map[link]string
+}
+
+// link is the way from a data centre to an instance.
+type link struct {
+	centre string
+	name   string
 }
 
 // NewLayout returns a layout with perCentre instances in each data centre and
 // data folders below folder. extra is added to each settings file.
 func NewLayout(folder string, centres []string, perCentre int, extra string) (*Layout, error) {
-	l := &Layout{extra: extra, dial: make(map[string]string)}
+	l := &Layout{extra: extra, dial: make(map[link]string)}
 	for _, centre := range centres {
 		for n := range perCentre {
 			addresses, err := freeAddresses(2)
@@ -49,18 +57,32 @@
 	return l, nil
 }
 
+// Ports of layouts lie below those that the system hands out by itself.
+const (
+	firstPort    = 12_000
+	portCount    = 20_000
+	portStride   = 131
+	maxPortTries = 1000
+)
+
+// nextPort counts the ports tried so far.
+var nextPort atomic.Int64
+
 // freeAddresses returns unused loopback addresses.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range maxPortTries {
+		port := firstPort + (os.Getpid()*portStride+int(nextPort.Add(1)))%portCount
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			continue
+		}
+		listener.Close()
+		if addresses = append(addresses, listener.Addr().String()); len(addresses) == count {
+			return addresses, nil
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
 	}
-	return addresses, nil
+	return nil, errors.New("no free port")
 }
 
 // Places returns the instances.
@@ -75,9 +97,9 @@
 	return urls
 }
 
-// Reach sets the address under which other instances know an instance, such as
-// a proxy's.
-func (l *Layout) Reach(name, address string) { l.dial[name] = address }
+// Reach sets the address under which the instances of a data centre know an
+// instance, such as a proxy's.
+func (l *Layout) Reach(centre, name, address string) { l.dial[link{centre, name}] = address }
 
 // disks returns the instances with a disk, those of one data centre if given.
 func (l *Layout) disks(centre string) []Place {
@@ -100,7 +122,7 @@
 	b.WriteString(l.extra)
 	for _, other := range l.places {
 		address := other.Peer
-		if proxy := l.dial[other.Name]; proxy != "" && other.Name != p.Name {
+		if proxy := l.dial[link{p.DataCentre, other.Name}]; proxy != "" {
 			address = proxy
 		}
 		fmt.Fprintf(&b, "\n[[instance]]\nname = %q\naddress = %q\ndata_centre = %q\n", other.Name, address, other.DataCentre)
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -63,7 +64,7 @@
 	folder    string
 	processes map[string]*exec.Cmd
 	exits     map[string]chan error
-	proxies   map[string]*toxiproxy.Proxy
+	proxies   map[wire]*toxiproxy.Proxy
 	fleet     *standin.Fleet
 	recorder  *standin.Recorder
 }
@@ -90,9 +91,9 @@
 	layout, err := standin.NewLayout(folder, s.centres, s.perCentre, s.extra)
 	c.Assert(err, qt.IsNil)
 	x := &system{t: t, c: c, ctx: ctx, layout: layout, folder: folder, processes: make(map[string]*exec.Cmd),
-		exits: make(map[string]chan error), proxies: make(map[string]*toxiproxy.Proxy), recorder: &standin.Recorder{}}
+		exits: make(map[string]chan error), proxies: make(map[wire]*toxiproxy.Proxy), recorder: &standin.Recorder{}}
 	if s.proxied {
-		x.proxyAll()
+		x.proxyAll(s.centres)
 	}
 	for _, p := range layout.Places() {
 		x.run(path, p)
@@ -114,15 +115,55 @@
 	x.c.Assert(standin.AwaitReady(ctx, x.layout.URLs(), len(x.fleet.Engines())), qt.IsNil)
 }
 
-// proxyAll puts a proxy in front of every instance's peer address.
-func (x *system) proxyAll() {
+// wire is the way from a data centre to an instance of another one.
+type wire struct {
+	centre string
+	name   string
+}
+
+// proxyAll puts a proxy between each data centre and the instances of others.
+func (x *system) proxyAll(centres []string) {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	for _, p := range x.layout.Places() {
-		proxy := toxiproxy.NewProxy(server, p.Name, "127.0.0.1:0", p.Peer)
-		x.c.Assert(proxy.Start(), qt.IsNil)
-		x.t.Cleanup(proxy.Stop)
-		x.proxies[p.Name] = proxy
-		x.layout.Reach(p.Name, proxy.Listen)
+	for _, centre := range centres {
+		for _, p := range x.layout.Places() {
+			if p.DataCentre == centre {
+				continue
+			}
+			proxy := toxiproxy.NewProxy(server, centre+"-"+p.Name, "127.0.0.1:0", p.Peer)
+			x.c.Assert(proxy.Start(), qt.IsNil)
+			x.t.Cleanup(proxy.Stop)
+			x.proxies[wire{centre, p.Name}] = proxy
+			x.layout.Reach(centre, p.Name, proxy.Listen)
+		}
+	}
+}
+
+// cut separates data centres: from one side to the other, silently (packets
+// vanish) or loudly (connections end).
+func (x *system) cut(from, to []string, silent bool) {
+	x.t.Helper()
+	for w, proxy := range x.proxies {
+		if !slices.Contains(from, w.centre) || !slices.Contains(to, x.place(w.name).DataCentre) {
+			continue
+		}
+		if !silent {
+			proxy.Stop()
+			continue
+		}
+		toxic := strings.NewReader(`{"name":"silence","type":"timeout","stream":"upstream","attributes":{"timeout":0}}`)
+		_, err := proxy.Toxics.AddToxicJson(toxic)
+		x.c.Assert(err, qt.IsNil)
+	}
+}
+
+// heal ends all cuts.
+func (x *system) heal() {
+	x.t.Helper()
+	for _, proxy := range x.proxies {
+		proxy.Toxics.ResetToxics(x.ctx)
+		if !proxy.Enabled {
+			x.c.Assert(proxy.Start(), qt.IsNil)
+		}
 	}
 }
 
