--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -88,3 +88,10 @@
 func Fingerprint(service, prompt string) uint64 {
 	return xxhash.Sum64String(service + "\x00" + prompt)
 }
+
+// NewAttempt returns an online attempt outside a traffic world, for
+// measurements of a backend server alone.
+func NewAttempt(trace context.Context, id uint64, address string, protocol config.Protocol, prompt string, maxTokens int, deadline time.Time) Attempt {
+	return Attempt{id: id, address: address, protocol: protocol, prompt: prompt, maxTokens: maxTokens,
+		online: true, deadline: deadline, trace: trace}
+}
--- a/io/instance/http.go
+++ b/io/instance/http.go
@@ -46,11 +46,11 @@
 	chain := metrics().meter().Middleware()
 	options := []connect.HandlerOption{connect.WithReadMaxBytes(rpc.MaxMessageBytes)}
 	mux.Handle(papayaquayv1connect.NewCallerServiceHandler(caller.New(i.settings.DataCentre(),
-		caller.WithTraffic(i.submit, i.cancel), caller.WithControl(i.call, i.snapshot.Load),
+		caller.WithTraffic(i.submit, i.cancel), caller.WithControl(i.Call, i.snapshot.Load),
 		caller.WithRequireAccount(i.settings.RequireAccount()), caller.WithChain(chain)), options...))
 	mux.Handle(papayaquayv1connect.NewOperatorServiceHandler(operator.New(i.version,
 		operator.WithSecrets(func() []string { return i.secrets.Load().OperatorSecrets() }),
-		operator.WithControl(i.call, i.snapshot.Load, i.status),
+		operator.WithControl(i.Call, i.snapshot.Load, i.status),
 		operator.WithDrain(i.Drain), operator.WithChain(chain)), options...))
 	mux.Handle(papayaquayv1connect.NewBackendServiceHandler(backend.New(i.announce, i.snapshot.Load,
 		func() []string { return i.secrets.Load().BackendSecrets() }, chain), options...))
--- a/io/instance/threads.go
+++ b/io/instance/threads.go
@@ -54,8 +54,8 @@
 	}))
 }
 
-// call makes a call and waits for its result.
-func (i *Instance) call(ctx context.Context, call control.Call) (control.Result, error) {
+// Call makes a call to a ledger and waits for its result.
+func (i *Instance) Call(ctx context.Context, call control.Call) (control.Result, error) {
 	results := make(chan control.Result, 1)
 	i.ask(ctx, call, func(r control.Result) { results <- r })
 	select {
--- a/io/standin/local.go
+++ b/io/standin/local.go
@@ -117,3 +117,6 @@
 	}
 	return nil
 }
+
+// Instances returns the instances, in the order of the layout.
+func (l *Local) Instances() []*instance.Instance { return l.instances }
