Membership traffic grows with the logarithm of the system

Cause: every instance that heard an announcement spread the server's load report to the whole data centre with 24 copies, and a difference in one digest sent all rows; rows learned that way were spread again. Ruled out: probes and acks themselves (0.8 kB/s).

--- a/core/member/message.go
+++ b/core/member/message.go
@@ -9,7 +9,8 @@
 	MessageAck                             // answers a probe
 	MessageIndirect                        // asks a third instance to probe Subject
 	MessageDigest                          // compares the tables of two instances
-	MessageSync                            // carries the whole tables
+	MessageSync                            // carries the rows of some buckets
+	MessageAnnounce                        // passes an announcement to the server's keeper
 )
 
 // Message goes from one instance to another. Every message may carry rumors.
@@ -17,10 +18,11 @@
 	kind      MessageKind
 	from      string
 	to        string
-	subject   string // instance that an indirect probe is about
-	number    uint64 // number of the probe
-	digest    uint64
-	reply     bool // a MessageSync that answers one
+	subject   string   // instance that an indirect probe is about
+	number    uint64   // number of the probe
+	digests   []uint64 // of the sender's rows, by bucket
+	buckets   []int    // that a MessageSync carries
+	reply     bool     // a MessageSync that answers one
 	instances []Instance
 	backends  []Backend
 }
@@ -33,8 +35,11 @@
 	return func(m *Message) { m.number, m.subject = number, subject }
 }
 
-// WithDigest sets the digest of the sender's tables.
-func WithDigest(digest uint64) MessageOption { return func(m *Message) { m.digest = digest } }
+// WithDigests sets the digests of the sender's rows, by bucket.
+func WithDigests(digests []uint64) MessageOption { return func(m *Message) { m.digests = digests } }
+
+// WithBuckets names the buckets of which a MessageSync carries all rows.
+func WithBuckets(buckets []int) MessageOption { return func(m *Message) { m.buckets = buckets } }
 
 // WithReply marks a MessageSync that answers another one.
 func WithReply(reply bool) MessageOption { return func(m *Message) { m.reply = reply } }
@@ -68,8 +73,11 @@
 // Number returns the probe's number.
 func (m Message) Number() uint64 { return m.number }
 
-// Digest returns the digest of the sender's tables.
-func (m Message) Digest() uint64 { return m.digest }
+// Digests returns the digests of the sender's rows, by bucket.
+func (m Message) Digests() []uint64 { return m.digests }
+
+// Buckets returns the buckets of which a MessageSync carries all rows.
+func (m Message) Buckets() []int { return m.buckets }
 
 // Reply reports a MessageSync that answers another one.
 func (m Message) Reply() bool { return m.reply }
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -5,11 +5,16 @@
 // Receive takes one message from another instance.
 func (w *World) Receive(now time.Time, m Message) {
 	w.contact = now
+	// Rows of a whole bucket are no news to the others, who compare theirs too.
+	w.silent = m.kind == MessageSync
+	defer func() { w.silent = false }()
 	for _, i := range m.instances {
 		w.learnInstance(now, i)
 	}
 	for _, b := range m.backends {
-		w.learnBackend(now, b, false)
+		if m.kind != MessageAnnounce {
+			w.learnBackend(now, b, true)
+		}
 	}
 	w.heard(now, m.from)
 	switch m.kind {
@@ -20,12 +25,16 @@
 	case MessageIndirect:
 		w.probe(now, m.subject, m.from, m.number)
 	case MessageDigest:
-		if m.digest != w.digest() {
-			w.sendTables(m.from, false)
+		if buckets := w.differing(m.digests); len(buckets) > 0 {
+			w.sendRows(m.from, buckets, false)
 		}
 	case MessageSync:
 		if !m.reply {
-			w.sendTables(m.from, true)
+			w.sendRows(m.from, m.buckets, true)
+		}
+	case MessageAnnounce:
+		for _, b := range m.backends {
+			w.keep(now, b)
 		}
 	}
 }
@@ -55,17 +64,39 @@
 	w.probes.Remove(m.number)
 }
 
-// sendTables sends all rows; the receiver answers with its own unless this is
-// an answer already.
-func (w *World) sendTables(to string, reply bool) {
+// differing returns the buckets in which the tables differ from the sender's.
+func (w *World) differing(digests []uint64) []int {
+	own := w.digests()
+	var buckets []int
+	for bucket := range own {
+		if bucket >= len(digests) || own[bucket] != digests[bucket] {
+			buckets = append(buckets, bucket)
+		}
+	}
+	return buckets
+}
+
+// sendRows sends all rows of some buckets; the receiver answers with its own
+// unless this is an answer already.
+func (w *World) sendRows(to string, buckets []int, reply bool) {
+	wanted := make(map[int]bool, len(buckets))
+	for _, bucket := range buckets {
+		wanted[bucket] = true
+	}
 	var instances []Instance
-	w.instances.Each(func(_ string, row *instanceRow) {
-		if !row.seed {
+	w.instances.Each(func(name string, row *instanceRow) {
+		if !row.seed && wanted[bucketOf(name)] {
 			instances = append(instances, row.instance)
 		}
 	})
+	var backends []Backend
+	w.backends.Each(func(id string, row *backendRow) {
+		if wanted[bucketOf(id)] {
+			backends = append(backends, row.backend)
+		}
+	})
 	w.messages = append(w.messages, NewMessage(MessageSync, w.self.name, to,
-		WithRows(instances, w.Backends()), WithReply(reply)))
+		WithRows(instances, backends), WithBuckets(buckets), WithReply(reply)))
 }
 
 // learnInstance merges a row and spreads it if it is news. News that this
@@ -85,10 +116,21 @@
 		return
 	}
 	w.instances.Put(i.name, instanceRow{instance: i, since: now})
+	w.countNearby()
 	w.spread(rumorKey{id: i.name}, false)
 	w.version++
 }
 
+// countNearby counts the reachable instances of this data centre.
+func (w *World) countNearby() {
+	w.nearby = 0
+	w.instances.Each(func(_ string, row *instanceRow) {
+		if row.instance.dataCentre == w.self.dataCentre && row.instance.Reachable() {
+			w.nearby++
+		}
+	})
+}
+
 // Leave marks this instance as stopped as planned and tells some others at once.
 func (w *World) Leave(now time.Time) {
 	w.self.state = StateLeft
--- a/core/member/system_probe.go
+++ b/core/member/system_probe.go
@@ -15,7 +15,7 @@
 			return
 		}
 		if row.seed {
-			w.send(MessageDigest, name, WithDigest(w.digest()))
+			w.send(MessageDigest, name, WithDigests(w.digests()))
 			return
 		}
 		if row.instance.Reachable() {
@@ -44,7 +44,7 @@
 		}
 	})
 	if len(dead) > 0 {
-		w.send(MessageDigest, dead[w.random.IntN(len(dead))], WithDigest(w.digest()))
+		w.send(MessageDigest, dead[w.random.IntN(len(dead))], WithDigests(w.digests()))
 	}
 }
 
@@ -52,7 +52,7 @@
 func (w *World) compare(now time.Time) {
 	w.digestDue.Arm(now.Add(digestInterval))
 	for _, name := range w.pick(1, "", false) {
-		w.send(MessageDigest, name, WithDigest(w.digest()))
+		w.send(MessageDigest, name, WithDigests(w.digests()))
 	}
 }
 
@@ -116,10 +116,16 @@
 	w.messages = append(w.messages, NewMessage(kind, w.self.name, to, options...))
 }
 
-// spread starts a rumor about a row.
+// spread starts a rumor about a row. Lost ones are made good by the digests.
 func (w *World) spread(key rumorKey, local bool) {
-	copies := rumorFactor * (1 + bits.Len(uint(w.instances.Len())))
-	w.rumors.Put(key, rumorRow{left: copies, local: local})
+	if w.silent && key.id != w.self.name {
+		return
+	}
+	group := w.instances.Len()
+	if local {
+		group = w.nearby
+	}
+	w.rumors.Put(key, rumorRow{left: 1 + bits.Len(uint(group)), local: local})
 }
 
 // takeRumors returns rows for one message and counts the transmissions.
--- a/io/peer/wire_member.go
+++ b/io/peer/wire_member.go
@@ -38,7 +38,8 @@
 	Kind      uint8      `cbor:"1,keyasint"`
 	Subject   string     `cbor:"2,keyasint,omitempty"`
 	Number    uint64     `cbor:"3,keyasint,omitempty"`
-	Digest    uint64     `cbor:"4,keyasint,omitempty"`
+	Digests   []uint64   `cbor:"4,keyasint,omitempty"`
+	Buckets   []int      `cbor:"8,keyasint,omitempty"`
 	Reply     bool       `cbor:"5,keyasint,omitempty"`
 	Instances []instance `cbor:"6,keyasint,omitempty"`
 	Backends  []backend  `cbor:"7,keyasint,omitempty"`
@@ -46,7 +47,7 @@
 
 // toMember returns the wire form of a membership message.
 func toMember(m member.Message) memberMessage {
-	wire := memberMessage{Kind: uint8(m.Kind()), Subject: m.Subject(), Number: m.Number(), Digest: m.Digest(), Reply: m.Reply()}
+	wire := memberMessage{Kind: uint8(m.Kind()), Subject: m.Subject(), Number: m.Number(), Digests: m.Digests(), Buckets: m.Buckets(), Reply: m.Reply()}
 	for _, i := range m.Instances() {
 		wire.Instances = append(wire.Instances, instance{Name: i.Name(), Address: i.Address(),
 			DataCentre: i.DataCentre(), Incarnation: i.Incarnation(), State: uint8(i.State())})
@@ -74,7 +75,7 @@
 			member.WithLoad(member.NewLoad(b.Running, b.Queued))))
 	}
 	return member.NewMessage(member.MessageKind(m.Kind), from, to, member.WithProbe(m.Number, m.Subject),
-		member.WithDigest(m.Digest), member.WithReply(m.Reply), member.WithRows(instances, backends))
+		member.WithDigests(m.Digests), member.WithBuckets(m.Buckets), member.WithReply(m.Reply), member.WithRows(instances, backends))
 }
 
 // replica is the wire form of ledger.Member.
