--- a/cmd_bench.go
+++ b/cmd_bench.go
@@ -37,9 +37,45 @@
 				return experiment.Members(c.Root().Writer, c.IntSlice("sizes"))
 			},
 		},
+		{
+			Name: "load", Usage: "latency of online requests under load and faults", Flags: loadFlags, Action: benchLoad,
+		},
 		{
 			Name: "state", Usage: "memory of home state and start-up time by size",
 			Action: func(ctx context.Context, c *cli.Command) error { return experiment.State(ctx, c.Root().Writer) },
 		},
 	},
 }
+
+// loadFlags describe a load experiment.
+var loadFlags = []cli.Flag{
+	&cli.DurationFlag{Name: "length", Value: 9 * time.Second, Usage: "time of the load"},
+	&cli.FloatFlag{Name: "rate", Value: 60, Usage: "online requests a second"},
+	&cli.IntFlag{Name: "engines", Value: 20, Usage: "substitute engines"},
+	&cli.IntFlag{Name: "entries", Value: 1, Usage: "instances in each of three data centres"},
+	&cli.IntFlag{Name: "items", Usage: "batch items beside the online load"},
+	&cli.FloatFlag{Name: "long", Usage: "share of requests 30 times longer"},
+	&cli.IntFlag{Name: "slowed", Usage: "engines slowed ten times at a time"},
+	&cli.BoolFlag{Name: "burst", Usage: "three times the rate in the middle third"},
+	&cli.StringSliceFlag{Name: "plain", Usage: "policy parts at their baseline: choice, limit, hedge, eject, affinity, order"},
+	&cli.IntSliceFlag{Name: "seeds", Value: []int{1}, Usage: "one run for each seed"},
+	&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+}
+
+// benchLoad runs one load experiment for each seed.
+func benchLoad(ctx context.Context, c *cli.Command) error {
+	for _, seed := range c.IntSlice("seeds") {
+		result, err := experiment.Load{
+			Rate: c.Float("rate"), Length: c.Duration("length"), Engines: c.Int("engines"), Entries: c.Int("entries"),
+			Items: c.Int("items"), Long: c.Float("long"), Slowed: c.Int("slowed"), Burst: c.Bool("burst"),
+			Plain: c.StringSlice("plain"), Seed: uint64(seed),
+		}.Run(ctx)
+		if err != nil {
+			return err
+		}
+		if err := result.Print(c.Root().Writer, c.Bool("json")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
