Silent attempts take their server out of use; hedge at twice the median

Cause: with 3 of 20 engines slowed, the p95 of first-token times, after which a hedge started, was itself the slow engines' time; and two or more slow samples were needed before an engine was avoided. Change: hedge after twice the median; an attempt silent that long counts as a sample and takes its server out of use, at most a third of them; hedge share 5%.

--- a/core/traffic/attempt.go
+++ b/core/traffic/attempt.go
@@ -82,6 +82,7 @@
 	first   time.Time // of the first token
 	last    time.Time // of the newest token
 	tokens  int
+	noted   bool // its silence was counted against the server
 }
 
 // Fingerprint identifies the content of a request.
--- a/core/traffic/policy.go
+++ b/core/traffic/policy.go
@@ -19,7 +19,7 @@
 
 // Default policy bounds.
 const (
-	DefaultHedgeShare = 0.04
+	DefaultHedgeShare = 0.05
 	DefaultRetryShare = 0.2
 	DefaultHedgeFloor = 30 * time.Millisecond
 	DefaultQueueLimit = 2000
--- a/core/traffic/system_attempts.go
+++ b/core/traffic/system_attempts.go
@@ -52,7 +52,7 @@
 	}
 	for _, other := range slices.Clone(row.attempts) {
 		if other != id {
-			w.abortOne(row, other)
+			w.loseOne(now, row, other)
 		}
 	}
 }
@@ -82,6 +82,18 @@
 	w.forget(row, id, a)
 }
 
+// loseOne ends an attempt that another one outran, and learns from its silence.
+func (w *World) loseOne(now time.Time, row *requestRow, id uint64) {
+	a := w.attempts.Get(id)
+	if a == nil {
+		return
+	}
+	if t := w.targets.Get(a.backend); t != nil && a.online && a.first.IsZero() {
+		t.learnSlow(now.Sub(a.started).Seconds())
+	}
+	w.abortOne(row, id)
+}
+
 // forget removes an attempt and frees its slot.
 func (w *World) forget(row *requestRow, id uint64, a *attemptRow) {
 	if t := w.targets.Get(a.backend); t != nil {
--- a/core/traffic/system_dispatch.go
+++ b/core/traffic/system_dispatch.go
@@ -269,13 +269,15 @@
 	w.slotFreed = w.slotFreed || by < 0
 }
 
-// hedge starts a second attempt for requests whose first one is silent for
-// longer than nearly all others were.
+// hedge starts a second attempt for requests whose first one is silent for a
+// multiple of the usual time. The median is used since the upper quantiles rise
+// with the slow servers themselves.
 func (w *World) hedge(now time.Time) {
-	wait := max(w.firstQuantile(hedgeQuantile), w.policy.hedgeFloor)
-	if w.policy.noHedge || w.firstQuantile(hedgeQuantile) == 0 {
+	median := w.firstQuantile(medianQuantile)
+	if w.policy.noHedge || median == 0 {
 		return
 	}
+	wait := max(hedgeFactor*median, w.policy.hedgeFloor)
 	for _, number := range w.requests.Keys() {
 		row := w.requests.Get(number)
 		if row.phase != phaseRunning || row.hedged || row.item != 0 || row.request.once || len(row.attempts) != 1 {
@@ -289,10 +291,43 @@
 			w.due.ArmBefore(due)
 			continue
 		}
+		w.noteSilent(now, a)
 		w.hedgeOne(now, number, row, a)
 	}
 }
 
+// noteSilent takes the server of a silent attempt out of use for a while: it
+// slowed down, whatever its reports say.
+func (w *World) noteSilent(now time.Time, a *attemptRow) {
+	t := w.targets.Get(a.backend)
+	if t == nil || a.noted {
+		return
+	}
+	a.noted = true
+	t.learnSlow(now.Sub(a.started).Seconds())
+	if !w.policy.noEject && w.mayEject(now, t) {
+		w.ejectOne(now, t)
+	}
+}
+
+// mayEject reports whether another server may be taken out of use.
+func (w *World) mayEject(now time.Time, t *targetRow) bool {
+	ejected := 0
+	w.targets.Each(func(_ string, other *targetRow) {
+		if now.Before(other.ejectUntil) {
+			ejected++
+		}
+	})
+	return !now.Before(t.ejectUntil) && (ejected+1)*maxEjectedShare <= w.targets.Len()
+}
+
+// ejectOne takes a server out of use.
+func (w *World) ejectOne(now time.Time, t *targetRow) {
+	t.eject(now)
+	w.due.ArmBefore(t.ejectUntil)
+	w.observe.ejected()
+}
+
 // hedgeOne starts the second attempt if the budget and a free slot allow it.
 func (w *World) hedgeOne(now time.Time, number uint64, row *requestRow, first *attemptRow) {
 	if w.hedges < 1 {
@@ -318,11 +353,7 @@
 		return
 	}
 	var firsts []float64
-	ejected := 0
 	w.targets.Each(func(_ string, t *targetRow) {
-		if now.Before(t.ejectUntil) {
-			ejected++
-		}
 		if t.present && t.first > 0 {
 			firsts = append(firsts, t.first)
 		}
@@ -334,13 +365,9 @@
 	median := firsts[len(firsts)/2]
 	w.targets.Each(func(_ string, t *targetRow) {
 		slow := t.first > ejectSlowdown*median && t.first > minEjectTime.Seconds()
-		if !slow || now.Before(t.ejectUntil) || (ejected+1)*maxEjectedShare > w.targets.Len() {
-			return
+		if slow && w.mayEject(now, t) {
+			w.ejectOne(now, t)
+			t.first = median // judged anew after the ejection
 		}
-		ejected++
-		t.eject(now)
-		w.due.ArmBefore(t.ejectUntil)
-		t.first = median // judged anew after the ejection
-		w.observe.ejected()
 	})
 }
--- a/core/traffic/target.go
+++ b/core/traffic/target.go
@@ -9,6 +9,7 @@
 // Learning constants.
 const (
 	latencyWeight   = 0.2 // of a new sample in a decayed mean
+	slowWeight      = 0.5 // of the age of a silent attempt
 	limitGrowth     = 0.5 // requests added to a limit that is used up
 	limitCut        = 0.8 // factor on a limit that is too high
 	limitSlowdown   = 3.0 // first-token time over its floor that cuts the limit
@@ -63,6 +64,14 @@
 	}
 }
 
+// learnSlow takes the age of an attempt that is still silent: its first-token
+// time will be at least that.
+func (t *targetRow) learnSlow(seconds float64) {
+	if t.first > 0 && seconds > t.first {
+		t.first += slowWeight * (seconds - t.first)
+	}
+}
+
 // learnPace takes the time between two tokens.
 func (t *targetRow) learnPace(seconds float64) {
 	if t.pace == 0 {
--- a/core/traffic/world.go
+++ b/core/traffic/world.go
@@ -24,7 +24,8 @@
 	ageWeight      = 200.0                  // tokens of expected work that a second of waiting outweighs
 	quantileWindow = 10 * time.Second
 	maxFirstMicros = 60_000_000
-	hedgeQuantile  = 95
+	medianQuantile = 50
+	hedgeFactor    = 2  // silence before a hedge, times the median first-token time
 	windowSamples  = 20 // samples needed before a quantile is trusted
 )
 
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -25,7 +25,7 @@
 	DefaultItemLease      = 10 * time.Second
 	DefaultProbeInterval  = 500 * time.Millisecond
 	DefaultQueueLimit     = 2000
-	DefaultHedgeShare     = 0.04
+	DefaultHedgeShare     = 0.05
 	DefaultRetryShare     = 0.2
 
 	maxTrafficThreads = 64
