--- a/core/control/system_publish.go
+++ b/core/control/system_publish.go
@@ -15,6 +15,7 @@
 		return
 	}
 	w.stale, w.published = false, version
+	w.noteInstances()
 	var targets []Target
 	for _, b := range w.members.Backends() {
 		w.noteBackend(b)
@@ -56,6 +57,28 @@
 	return *w.usages.Put(backend, &Usage{})
 }
 
+// noteInstances logs changes in the state of instances.
+func (w *World) noteInstances() {
+	for _, i := range w.members.Instances() {
+		if w.notedStates[i.Name()] == i.State() || i.State() == 0 {
+			continue
+		}
+		w.notedStates[i.Name()] = i.State()
+		event.InstanceChanged.Log(w.logger, "instance", i.Name(), "dc", i.DataCentre(), "state", i.State().String())
+	}
+}
+
+// noteLeaders logs changes of the leaders of hosted ledgers.
+func (w *World) noteLeaders() {
+	for _, l := range w.ledgers.Statuses() {
+		if w.notedLeaders[l.Ledger()] == l.Leader() {
+			continue
+		}
+		w.notedLeaders[l.Ledger()] = l.Leader()
+		event.LeaderChanged.Log(w.logger, "ledger", l.Ledger(), "leader", l.Leader(), "term", l.Term())
+	}
+}
+
 // noteBackend logs the first sight, the leaving and the loss of a backend server.
 func (w *World) noteBackend(b member.Backend) {
 	state := backendNote{incarnation: b.Incarnation(), leaving: b.Leaving(), gone: b.Gone()}
--- a/core/control/world.go
+++ b/core/control/world.go
@@ -106,12 +106,14 @@
 	routeDue  *timer.Subscription
 	expireDue *timer.Subscription
 
-	tickTime  time.Time // of the current tick
-	noted     map[string]backendNote
-	published uint64 // membership version of the published snapshot
-	stale     bool   // the published snapshot is out of date
-	wake      bool   // waiting calls must be looked at
-	again     bool   // another tick is needed at once
+	tickTime     time.Time // of the current tick
+	noted        map[string]backendNote
+	notedStates  map[string]member.State
+	notedLeaders map[ledger.ID]string
+	published    uint64 // membership version of the published snapshot
+	stale        bool   // the published snapshot is out of date
+	wake         bool   // waiting calls must be looked at
+	again        bool   // another tick is needed at once
 }
 
 // Option changes a world at construction.
@@ -200,6 +202,8 @@
 		outbox:       table.New[string, Packet](),
 		stale:        true,
 		noted:        make(map[string]backendNote),
+		notedStates:  make(map[string]member.State),
+		notedLeaders: make(map[ledger.ID]string),
 	}
 	for _, option := range options {
 		option(w)
@@ -259,6 +263,7 @@
 	w.servePulls(now)
 	w.wakeWaiters(now)
 	w.drain(now)
+	w.noteLeaders()
 	w.refreshSnapshot(now)
 	w.flushOutbox()
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -63,8 +63,6 @@
 	BackendLost   = Event{401, slog.LevelWarn, "a backend server was lost while it ran a request"}
 	RequestPoison = Event{402, slog.LevelWarn, "a request was refused since it crashed backend servers"}
 	ConfigApplied = Event{500, slog.LevelDebug, "a configuration revision is in force"}
-	OrderSent     = Event{510, slog.LevelInfo, "an order was sent to a backend server"}
-	OrderRefused  = Event{511, slog.LevelWarn, "a backend server refused an order"}
 )
 
 // All returns every event, by number.
@@ -74,6 +72,6 @@
 		DiskFailed, DiskRepaired, DiskCorrupt, DiskFresh,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, PeerRefused,
-		AttemptFailed, BackendLost, RequestPoison, ConfigApplied, OrderSent, OrderRefused,
+		AttemptFailed, BackendLost, RequestPoison, ConfigApplied,
 	}
 }
--- a/core/ledger/world_test.go
+++ b/core/ledger/world_test.go
@@ -14,11 +14,10 @@
 
 // diskRow is what the disk of one instance holds.
 type diskRow struct {
-	nonce    int
-	term     uint64
-	vote     ReplicaID
-	snapshot Snapshot
-	log      entryLog
+	nonce int
+	term  uint64
+	vote  ReplicaID
+	log   entryLog
 }
 
 // write applies a durable record.
@@ -41,13 +40,12 @@
 
 // node is one simulated instance.
 type node struct {
-	name    string
-	world   *World
-	disk    diskRow
-	syncs   []pendingSync
-	applied []string // payloads by index, "" for other entries
-	frozen  bool
-	cut     bool
+	name   string
+	world  *World
+	disk   diskRow
+	syncs  []pendingSync
+	frozen bool
+	cut    bool
 }
 
 // cluster is a simulated system with one ledger.
@@ -81,7 +79,7 @@
 func (c *cluster) boot(n *node) {
 	c.seed++
 	n.world = New(n.name, WithSeed(c.seed))
-	n.syncs, n.applied, n.frozen = nil, nil, false
+	n.syncs, n.frozen = nil, false
 	replica := ReplicaID(fmt.Sprintf("%s#%d", n.name, n.disk.nonce))
 	n.world.Host(c.now, testLedger, replica, c.names,
 		WithStored(n.disk.term, n.disk.vote, n.disk.log.snapshot, append([]Entry(nil), n.disk.log.entries...)))
--- /dev/null
+++ b/io/disk/store_test.go
@@ -0,0 +1,174 @@
+package disk
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"papayaquay/core/ledger"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+// entryRecord returns the record of entry n of a test ledger.
+func entryRecord(n int) ledger.Record {
+	return ledger.NewEntryRecord("home/a", "i1#x", ledger.NewEntry(1, uint64(n), ledger.EntryCommand, fmt.Appendf(nil, "c%d", n), nil))
+}
+
+// fill opens a store, makes entries durable one batch each, and closes it.
+func fill(c *qt.C, folder string, entries int, options ...Option) {
+	synced := make(chan uint64, entries)
+	store, err := Open(folder, append(options, WithCallbacks(func(n uint64) { synced <- n }, func(error) {}))...)
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		store.Run(ctx)
+		close(done)
+	}()
+	for n := 1; n <= entries; n++ {
+		store.Append(uint64(n), []ledger.Record{entryRecord(n)})
+	}
+	for n := uint64(0); n < uint64(entries); {
+		select {
+		case n = <-synced:
+		case <-time.After(10 * time.Second):
+			c.Fatalf("not durable")
+		}
+	}
+	cancel()
+	<-done
+	store.Close()
+}
+
+// segments returns the paths of the segment files.
+func segments(c *qt.C, folder string) []string {
+	paths, err := filepath.Glob(filepath.Join(folder, segmentGlob))
+	c.Assert(err, qt.IsNil)
+	return paths
+}
+
+// TestDamage opens logs that were damaged in several ways.
+func TestDamage(t *testing.T) {
+	const entries = 20
+	for _, test := range []struct {
+		name    string
+		damage  func(c *qt.C, path string)
+		entries int
+		err     error
+	}{
+		{"none", func(*qt.C, string) {}, entries, nil},
+		{"torn end", func(c *qt.C, path string) {
+			info, err := os.Stat(path)
+			c.Assert(err, qt.IsNil)
+			c.Assert(os.Truncate(path, info.Size()-3), qt.IsNil)
+		}, entries - 1, nil},
+		{"half a header at the end", func(c *qt.C, path string) {
+			f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
+			c.Assert(err, qt.IsNil)
+			_, err = f.Write([]byte{9, 0, 0})
+			c.Assert(err, qt.IsNil)
+			c.Assert(f.Close(), qt.IsNil)
+		}, entries, nil},
+		{"flipped bit in the middle", func(c *qt.C, path string) {
+			data, err := os.ReadFile(path)
+			c.Assert(err, qt.IsNil)
+			data[len(data)/2] ^= 4
+			c.Assert(os.WriteFile(path, data, 0o600), qt.IsNil)
+		}, 0, ErrCorrupt},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			folder := t.TempDir()
+			fill(c, folder, entries)
+			test.damage(c, segments(c, folder)[0])
+			store, err := Open(folder)
+			c.Assert(errors.Is(err, test.err), qt.IsTrue, qt.Commentf("%v", err))
+			if test.err != nil {
+				c.Assert(SetAside(folder), qt.IsNil)
+				store, err = Open(folder)
+				c.Assert(err, qt.IsNil)
+				c.Assert(store.Take(), qt.HasLen, 0)
+				store.Close()
+				return
+			}
+			c.Assert(store.Take()[0].Entries(), qt.HasLen, test.entries)
+			store.Close()
+		})
+	}
+}
+
+// TestFailingDisk lets writes and syncs fail for a while: nothing is confirmed
+// before it is durable, and all is there afterwards.
+func TestFailingDisk(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		write bool
+	}{{"short write", true}, {"failing sync", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int32
+			failing := func() bool { n := calls.Add(1); return n > 6 && n < 9 }
+			write := func(f *os.File, data []byte, at int64) (int, error) {
+				if test.write && failing() {
+					n, _ := f.WriteAt(data[:len(data)/2], at)
+					return n, errors.New("no space left")
+				}
+				return f.WriteAt(data, at)
+			}
+			sync := func(f *os.File) error {
+				if !test.write && failing() {
+					return errors.New("input/output error")
+				}
+				return f.Sync()
+			}
+			folder := t.TempDir()
+			fill(c, folder, 40, WithFile(write, sync))
+			store, err := Open(folder)
+			c.Assert(err, qt.IsNil)
+			c.Assert(store.Take()[0].Entries(), qt.HasLen, 40)
+			store.Close()
+		})
+	}
+}
+
+// TestRewrite drops records that a snapshot covers, and keeps the rest.
+func TestRewrite(t *testing.T) {
+	c := qt.New(t)
+	folder := t.TempDir()
+	fill(c, folder, 100)
+	store, err := Open(folder, WithRewriteAfter(1))
+	c.Assert(err, qt.IsNil)
+	snapshot := ledger.NewSnapshot(90, 1, nil, []byte("state"))
+	store.step(time.Now(), []batch{{sequence: 1, records: []ledger.Record{ledger.NewSnapshotRecord("home/a", "i1#x", snapshot)}}})
+	nonce := store.Nonce()
+	store.Close()
+	c.Assert(segments(c, folder), qt.HasLen, 1)
+	store, err = Open(folder)
+	c.Assert(err, qt.IsNil)
+	defer store.Close()
+	stored := store.Take()[0]
+	c.Assert(store.Nonce(), qt.Equals, nonce)
+	c.Assert(stored.Snapshot().Index(), qt.Equals, uint64(90))
+	c.Assert(stored.Entries(), qt.HasLen, 10)
+}
+
+// FuzzFrame feeds the record decoder with anything.
+func FuzzFrame(f *testing.F) {
+	frame, err := appendFrame(nil, toBody(entryRecord(1)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(frame)
+	f.Add(frame[:5])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, size, err := readFrame(data); err == nil && size > len(data) {
+			t.Fatalf("frame of %d bytes in %d", size, len(data))
+		}
+	})
+}
--- /dev/null
+++ b/io/peer/wire_test.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+	"time"
+
+	"papayaquay/core/control"
+	"papayaquay/core/home"
+	"papayaquay/core/ledger"
+	"papayaquay/core/member"
+	"papayaquay/core/outcome"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// samplePacket returns a packet with something of everything.
+func samplePacket(now time.Time) control.Packet {
+	key := home.NewKey("acc", "key")
+	command := home.NewCommand(home.CommandSubmit, key, time.UnixMilli(5).UTC(), home.WithService("s"),
+		home.WithItems(2, 0, []home.Item{home.NewItem("a", 1), home.NewItem("b", 2)}))
+	call := control.NewCall(control.CallApply, "home/a", now.Add(time.Second), control.WithCommand(command), control.WithKey(key))
+	answer := home.NewAnswer(outcome.OK, "text", 3, "", "b1", time.UnixMilli(7).UTC())
+	entry := ledger.NewEntry(3, 9, ledger.EntryMembers, nil, []ledger.Member{ledger.NewMember("i1#x", "i1", true)})
+	return control.NewPacket("i1", "i2",
+		control.WithMembers([]member.Message{member.NewMessage(member.MessageProbe, "i1", "i2", member.WithProbe(4, "i3"),
+			member.WithRows([]member.Instance{member.NewInstance("i1", "127.0.0.1:1", "a", 2, member.StateAlive)}, nil))}),
+		control.WithLedgers([]ledger.Message{ledger.NewMessage(ledger.MessageAppend, "home/a", "i1#x", "i2#y", 3,
+			ledger.WithRoute("i1", "i2"), ledger.WithPosition(8, 2), ledger.WithEntries([]ledger.Entry{entry}))}),
+		control.WithCalls([]control.Forward{control.NewForward(5, call)},
+			[]control.Backward{control.NewBackward(6, control.NewResult(nil, control.WithReply(home.NewReply(outcome.OK, "", home.WithStoredAnswer(answer)))))}),
+		control.WithDemands([]control.Demand{control.NewDemand("b1", 3)}))
+}
+
+// TestPacket encodes and decodes a packet.
+func TestPacket(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	data, err := Encode(samplePacket(now))
+	c.Assert(err, qt.IsNil)
+	p, err := Decode(data, now)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Members()[0].Instances()[0].Address(), qt.Equals, "127.0.0.1:1")
+	c.Assert(p.Ledgers()[0].Entries()[0].Members()[0].Replica(), qt.Equals, ledger.ReplicaID("i1#x"))
+	c.Assert(p.Calls()[0].Call().Command().Items(), qt.HasLen, 2)
+	c.Assert(p.Answers()[0].Result().Reply().Answer().Text(), qt.Equals, "text")
+	c.Assert(p.Demands()[0].Online(), qt.Equals, 3)
+}
+
+// FuzzDecode feeds the packet decoder with anything.
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(samplePacket(time.Now()))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Decode(data, time.Now()) })
+}
+
+// FuzzFrame feeds the frame reader with anything.
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte("\x02{}"))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var value any
+		_ = newFrameCodec().ReadObject(bufio.NewReader(bytes.NewReader(data)), &value)
+	})
+}
+
+// TestKeys checks proofs of the shared key, with rotation.
+func TestKeys(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		signer string
+		keys   []string
+		valid  bool
+	}{
+		{"same key", "k1", []string{"k1"}, true},
+		{"old key still accepted", "k1", []string{"k2", "k1"}, true},
+		{"removed key", "k1", []string{"k2"}, false},
+		{"no keys", "", nil, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			nonce, err := newChallenge()
+			c.Assert(err, qt.IsNil)
+			c.Assert(accepts(test.keys, "i1", nonce, sign(test.signer, "i1", nonce)), qt.Equals, test.valid)
+			c.Assert(accepts(test.keys, "i2", nonce, sign(test.signer, "i1", nonce)), qt.IsFalse)
+		})
+	}
+}
