--- a/cmd_serve.go
+++ b/cmd_serve.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"papayaquay/io/instance"
@@ -17,6 +18,9 @@
 // configFlag names the settings file.
 var configFlag = &cli.StringFlag{Name: "config", Usage: "settings `FILE` (TOML)", Required: true}
 
+// collectPercent makes the collector run early, since instances are small.
+const collectPercent = 40
+
 // cmdServe runs an instance.
 var cmdServe = &cli.Command{
 	Name:   "serve",
@@ -31,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectPercent)
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel()}))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/core/home/lease.go
+++ b/core/home/lease.go
@@ -124,7 +124,7 @@
 		j.runs[i]++
 		leased = append(leased, NewLeased(key, i, j.service, j.once, j.items[i]))
 	}
-	lease.end, lease.open = j.cursor+1, len(leased)
+	lease.end, lease.open = leased[len(leased)-1].index+1, len(leased)
 	j.leases = append(j.leases, lease)
 	j.leased += len(leased)
 	return leased
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -11,10 +11,10 @@
 
 // Default protocol timing and sizes.
 const (
-	DefaultHeartbeat       = 150 * time.Millisecond
-	DefaultElectionFloor   = 700 * time.Millisecond
-	DefaultElectionCeiling = 1300 * time.Millisecond
-	DefaultLease           = 500 * time.Millisecond
+	DefaultHeartbeat       = 250 * time.Millisecond
+	DefaultElectionFloor   = 900 * time.Millisecond
+	DefaultElectionCeiling = 1400 * time.Millisecond
+	DefaultLease           = 700 * time.Millisecond
 
 	appendEntries   = 512     // entries in one message
 	appendBytes     = 1 << 20 // payload bytes in one message
