--- a/core/control/packet.go
+++ b/core/control/packet.go
@@ -19,6 +19,7 @@
 	pushes  []Push
 	demands []Demand
 	spread  []Suspicion
+	work    bool
 }
 
 // PacketOption sets the content of a packet.
@@ -50,6 +51,9 @@
 // WithSuspicions sets crash counts of fingerprints.
 func WithSuspicions(spread []Suspicion) PacketOption { return func(p *Packet) { p.spread = spread } }
 
+// WithWork tells batch runners that a home ledger has new items.
+func WithWork(work bool) PacketOption { return func(p *Packet) { p.work = work } }
+
 // NewPacket returns a packet between two instances.
 func NewPacket(from, to string, options ...PacketOption) Packet {
 	p := Packet{from: from, to: to}
@@ -92,6 +96,9 @@
 // Suspicions returns crash counts of fingerprints.
 func (p Packet) Suspicions() []Suspicion { return p.spread }
 
+// Work reports that a home ledger led by the sender has new items.
+func (p Packet) Work() bool { return p.work }
+
 // Forward is a call on its way to a leader.
 type Forward struct {
 	number uint64
--- a/core/control/receive.go
+++ b/core/control/receive.go
@@ -64,6 +64,9 @@
 		w.demands.Put(demandKey{backend: d.backend, instance: p.from}, demandRow{online: d.online, at: now})
 		w.batchDue.ArmBefore(now)
 	}
+	if p.work {
+		w.pollSoon()
+	}
 	for _, s := range p.spread {
 		w.learnSuspicion(now, s, false)
 	}
--- a/core/control/system_apply.go
+++ b/core/control/system_apply.go
@@ -57,7 +57,7 @@
 	if c.Ledger() == ConfigLedger {
 		result = w.applyChange(now, entry)
 	} else if row := w.homeStates.Get(c.Ledger()); row != nil {
-		result = w.applyHome(row, entry)
+		result = w.applyHome(c.Ledger(), row, entry)
 	}
 	w.settle(now, c.Ledger(), entry, result, true)
 }
@@ -75,7 +75,7 @@
 }
 
 // applyHome applies a home command.
-func (w *World) applyHome(row *homeRow, entry ledger.Entry) Result {
+func (w *World) applyHome(id ledger.ID, row *homeRow, entry ledger.Entry) Result {
 	command, err := w.codec.decodeCommand(entry.Payload())
 	if err != nil {
 		event.CommandInvalid.Log(w.logger, "index", entry.Index(), "error", err)
@@ -85,8 +85,8 @@
 		row.expiring = false
 	}
 	if command.Kind() == home.CommandSubmit {
-		w.batchDue.ArmBefore(time.Time{})
 		w.pollSoon()
+		w.tellRunners(id)
 	}
 	return NewResult(nil, WithReply(row.state.Apply(command)))
 }
--- a/core/control/system_batch.go
+++ b/core/control/system_batch.go
@@ -35,6 +35,7 @@
 	due         time.Time
 	outstanding bool
 	number      uint64
+	pause       time.Duration // until the next poll while there is nothing
 }
 
 // flushRow collects answered and returned items for one home ledger.
@@ -232,15 +233,34 @@
 		w.cancelJob(key)
 	}
 	if len(r.reply.Leased()) == 0 {
-		poll.due = w.tickTime.Add(pollInterval)
+		poll.pause = min(max(2*poll.pause, pollInterval), maxPollPause)
+		if w.items.Len() > 0 {
+			poll.pause = pollInterval // leases are renewed and cancelled jobs noticed
+		}
+		poll.due = w.tickTime.Add(poll.pause)
 		return
 	}
+	poll.pause = 0
 	w.again = true
 }
 
 // pollSoon makes the next tick poll all home ledgers.
 func (w *World) pollSoon() {
-	w.polls.Each(func(_ ledger.ID, poll *pollRow) { poll.due = time.Time{} })
+	w.polls.Each(func(_ ledger.ID, poll *pollRow) { poll.due, poll.pause = time.Time{}, 0 })
+	w.batchDue.ArmBefore(time.Time{})
+}
+
+// tellRunners lets the runners of all data centres know of new items in a home
+// ledger that is led here.
+func (w *World) tellRunners(id ledger.ID) {
+	if w.ledgers.LeaderOf(id) != w.name {
+		return
+	}
+	for _, other := range w.homes {
+		if runner := w.believedLeader(other); runner != "" && runner != w.name {
+			w.out(runner).work = true
+		}
+	}
 }
 
 // findItem returns the number of an item that is held already, or zero.
--- a/core/control/world.go
+++ b/core/control/world.go
@@ -29,6 +29,7 @@
 	demandPause    = 10 * time.Millisecond // between reports of changed online load
 	demandExpiry   = 3 * time.Second
 	pollInterval   = 250 * time.Millisecond // between lease polls of a home ledger
+	maxPollPause   = 2 * time.Second        // between lease polls while there is nothing to run
 	maxItemTries   = 3
 	itemWait       = 1500 * time.Millisecond // for a slot before an item is given back
 	backendPause   = 500 * time.Millisecond  // without items for a server that refused one
--- a/core/ledger/replica.go
+++ b/core/ledger/replica.go
@@ -81,6 +81,7 @@
 	next        uint64
 	match       uint64
 	round       uint64
+	told        uint64 // commit index that was sent
 	ackedAt     time.Time
 	snapshotDue time.Time
 }
--- a/core/ledger/system_replicate.go
+++ b/core/ledger/system_replicate.go
@@ -48,9 +48,11 @@
 		p.next += uint64(len(entries))
 		sent = true
 	}
-	if w.beat && !sent {
+	// A follower must not wait for the next heartbeat to learn of a commit.
+	if !sent && (w.beat || p.told < row.commit) {
 		w.sendAppend(row, m, p.next-1, nil)
 	}
+	p.told = row.commit
 }
 
 // feedSnapshot sends the snapshot, again only after snapshotRetry, and
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -58,6 +58,9 @@
 // Once reports whether the request must not be repeated.
 func (r Request) Once() bool { return r.once }
 
+// Generated reports whether this system made the key.
+func (r Request) Generated() bool { return r.generated }
+
 // Deadline returns when the caller gives up.
 func (r Request) Deadline() time.Time { return r.deadline }
 
--- a/io/caller/ask.go
+++ b/io/caller/ask.go
@@ -26,11 +26,13 @@
 	if err != nil {
 		return rpc.Error(err)
 	}
-	if err := stream.Send(&papayaquayv1.AskResponse{Key: r.Key().Name()}); err != nil {
-		return errors.Wrap(err, "send key")
-	}
 	events := tick.NewInbox[traffic.Event]()
 	var number atomic.Uint64
+	if r.Generated() { // the caller needs the key even if the answer is lost
+		if err := stream.Send(&papayaquayv1.AskResponse{Key: r.Key().Name()}); err != nil {
+			return errors.Wrap(err, "send key")
+		}
+	}
 	s.submit(r, events.Post, number.Store)
 	for {
 		batch := events.Receive(ctx)
--- a/io/peer/wire.go
+++ b/io/peer/wire.go
@@ -27,6 +27,7 @@
 	Pushes     []push          `cbor:"8,keyasint,omitempty"`
 	Demands    []demand        `cbor:"9,keyasint,omitempty"`
 	Suspicions []suspicion     `cbor:"10,keyasint,omitempty"`
+	Work       bool            `cbor:"11,keyasint,omitempty"`
 }
 
 // pull is the wire form of control.Pull.
@@ -61,7 +62,7 @@
 
 // Encode encodes a packet.
 func Encode(p control.Packet) ([]byte, error) {
-	wire := packet{From: p.From(), To: p.To()}
+	wire := packet{From: p.From(), To: p.To(), Work: p.Work()}
 	for _, m := range p.Members() {
 		wire.Members = append(wire.Members, toMember(m))
 	}
@@ -122,7 +123,7 @@
 		answers = append(answers, b.backward())
 	}
 	return control.NewPacket(wire.From, wire.To, control.WithMembers(members), control.WithLedgers(ledgers),
-		control.WithCalls(calls, answers), wire.config(), wire.demands(), wire.suspicions()), nil
+		control.WithCalls(calls, answers), wire.config(), wire.demands(), wire.suspicions(), control.WithWork(wire.Work)), nil
 }
 
 // config returns the configuration part of a packet.
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -57,7 +57,7 @@
 
 // system is a running system of processes with substitute engines.
 type system struct {
-	t         *testing.T
+	t         testing.TB
 	c         *qt.C
 	ctx       context.Context
 	layout    *standin.Layout
@@ -80,7 +80,7 @@
 }
 
 // start runs all processes of a system and waits until it is ready.
-func start(t *testing.T, s shape) *system {
+func start(t testing.TB, s shape) *system {
 	t.Helper()
 	path, err := binary()
 	c := qt.New(t)
