--- a/io/disk/frame.go
+++ b/io/disk/frame.go
@@ -27,25 +27,17 @@
 // Record kinds beside those of the ledger package.
 const kindIdentity = 100
 
-// member is the wire form of ledger.Member.
-type member struct {
-	_        struct{} `cbor:",toarray"`
-	Replica  string
-	Instance string
-	Voter    bool
-}
-
 // body is the wire form of a record.
 type body struct {
-	Kind    uint8    `cbor:"1,keyasint"`
-	Ledger  string   `cbor:"2,keyasint,omitempty"`
-	Replica string   `cbor:"3,keyasint"`
-	Term    uint64   `cbor:"4,keyasint,omitempty"`
-	Index   uint64   `cbor:"5,keyasint,omitempty"`
-	Vote    string   `cbor:"6,keyasint,omitempty"`
-	Entry   uint8    `cbor:"7,keyasint,omitempty"`
-	Data    []byte   `cbor:"8,keyasint,omitempty"`
-	Members []member `cbor:"9,keyasint,omitempty"`
+	Kind    uint8           `cbor:"1,keyasint"`
+	Ledger  string          `cbor:"2,keyasint,omitempty"`
+	Replica string          `cbor:"3,keyasint"`
+	Term    uint64          `cbor:"4,keyasint,omitempty"`
+	Index   uint64          `cbor:"5,keyasint,omitempty"`
+	Vote    string          `cbor:"6,keyasint,omitempty"`
+	Entry   uint8           `cbor:"7,keyasint,omitempty"`
+	Data    []byte          `cbor:"8,keyasint,omitempty"`
+	Members []record.Member `cbor:"9,keyasint,omitempty"`
 }
 
 // toBody returns the wire form of a ledger record.
@@ -57,40 +49,22 @@
 	case ledger.RecordEntry:
 		e := r.Entry()
 		b.Term, b.Index, b.Entry = e.Term(), e.Index(), uint8(e.Kind())
-		b.Data, b.Members = e.Payload(), toMembers(e.Members())
+		b.Data, b.Members = e.Payload(), record.ToMembers(e.Members())
 	case ledger.RecordSnapshot:
 		s := r.Snapshot()
-		b.Term, b.Index, b.Data, b.Members = s.Term(), s.Index(), s.Data(), toMembers(s.Members())
+		b.Term, b.Index, b.Data, b.Members = s.Term(), s.Index(), s.Data(), record.ToMembers(s.Members())
 	}
 	return b
 }
 
-// toMembers returns the wire form of a member list.
-func toMembers(members []ledger.Member) []member {
-	var out []member
-	for _, m := range members {
-		out = append(out, member{Replica: string(m.Replica()), Instance: m.Instance(), Voter: m.Voter()})
-	}
-	return out
-}
-
-// members returns the member list.
-func (b body) members() []ledger.Member {
-	var out []ledger.Member
-	for _, m := range b.Members {
-		out = append(out, ledger.NewMember(ledger.ReplicaID(m.Replica), m.Instance, m.Voter))
-	}
-	return out
-}
-
 // entry returns the entry of a RecordEntry.
 func (b body) entry() ledger.Entry {
-	return ledger.NewEntry(b.Term, b.Index, ledger.EntryKind(b.Entry), b.Data, b.members())
+	return ledger.NewEntry(b.Term, b.Index, ledger.EntryKind(b.Entry), b.Data, record.Members(b.Members))
 }
 
 // snapshot returns the snapshot of a RecordSnapshot.
 func (b body) snapshot() ledger.Snapshot {
-	return ledger.NewSnapshot(b.Index, b.Term, b.members(), b.Data)
+	return ledger.NewSnapshot(b.Index, b.Term, record.Members(b.Members), b.Data)
 }
 
 // appendFrame appends the frame of a body to buffer.
--- a/io/peer/wire_member.go
+++ b/io/peer/wire_member.go
@@ -3,6 +3,7 @@
 import (
 	"papayaquay/core/ledger"
 	"papayaquay/core/member"
+	"papayaquay/io/record"
 )
 
 // instance is the wire form of member.Instance.
@@ -78,14 +79,6 @@
 		member.WithDigests(m.Digests), member.WithBuckets(m.Buckets), member.WithReply(m.Reply), member.WithRows(instances, backends))
 }
 
-// replica is the wire form of ledger.Member.
-type replica struct {
-	_        struct{} `cbor:",toarray"`
-	Replica  string
-	Instance string
-	Voter    bool
-}
-
 // entry is the wire form of ledger.Entry.
 type entry struct {
 	_       struct{} `cbor:",toarray"`
@@ -93,7 +86,7 @@
 	Index   uint64
 	Kind    uint8
 	Payload []byte
-	Members []replica
+	Members []record.Member
 }
 
 // snapshot is the wire form of ledger.Snapshot.
@@ -101,7 +94,7 @@
 	_       struct{} `cbor:",toarray"`
 	Index   uint64
 	Term    uint64
-	Members []replica
+	Members []record.Member
 	Data    []byte
 }
 
@@ -122,24 +115,6 @@
 	Snapshot *snapshot `cbor:"13,keyasint,omitempty"`
 }
 
-// toReplicas returns the wire form of a member list.
-func toReplicas(members []ledger.Member) []replica {
-	var out []replica
-	for _, m := range members {
-		out = append(out, replica{Replica: string(m.Replica()), Instance: m.Instance(), Voter: m.Voter()})
-	}
-	return out
-}
-
-// replicas returns a member list.
-func replicas(members []replica) []ledger.Member {
-	var out []ledger.Member
-	for _, m := range members {
-		out = append(out, ledger.NewMember(ledger.ReplicaID(m.Replica), m.Instance, m.Voter))
-	}
-	return out
-}
-
 // toLedger returns the wire form of a message between replicas.
 func toLedger(m ledger.Message) ledgerMessage {
 	wire := ledgerMessage{Kind: uint8(m.Kind()), Ledger: string(m.Ledger()), From: string(m.From()), To: string(m.To()),
@@ -147,10 +122,10 @@
 		Reject: m.Reject(), Forced: m.Forced()}
 	for _, e := range m.Entries() {
 		wire.Entries = append(wire.Entries, entry{Term: e.Term(), Index: e.Index(), Kind: uint8(e.Kind()),
-			Payload: e.Payload(), Members: toReplicas(e.Members())})
+			Payload: e.Payload(), Members: record.ToMembers(e.Members())})
 	}
 	if s := m.Snapshot(); s.Index() > 0 {
-		wire.Snapshot = &snapshot{Index: s.Index(), Term: s.Term(), Members: toReplicas(s.Members()), Data: s.Data()}
+		wire.Snapshot = &snapshot{Index: s.Index(), Term: s.Term(), Members: record.ToMembers(s.Members()), Data: s.Data()}
 	}
 	return wire
 }
@@ -159,13 +134,13 @@
 func (m ledgerMessage) message(from, to string) ledger.Message {
 	var entries []ledger.Entry
 	for _, e := range m.Entries {
-		entries = append(entries, ledger.NewEntry(e.Term, e.Index, ledger.EntryKind(e.Kind), e.Payload, replicas(e.Members)))
+		entries = append(entries, ledger.NewEntry(e.Term, e.Index, ledger.EntryKind(e.Kind), e.Payload, record.Members(e.Members)))
 	}
 	options := []ledger.MessageOption{ledger.WithRoute(from, to), ledger.WithPosition(m.Index, m.LogTerm),
 		ledger.WithCommit(m.Commit), ledger.WithRound(m.Round), ledger.WithReject(m.Reject),
 		ledger.WithForced(m.Forced), ledger.WithEntries(entries)}
 	if s := m.Snapshot; s != nil {
-		options = append(options, ledger.WithSnapshot(ledger.NewSnapshot(s.Index, s.Term, replicas(s.Members), s.Data)))
+		options = append(options, ledger.WithSnapshot(ledger.NewSnapshot(s.Index, s.Term, record.Members(s.Members), s.Data)))
 	}
 	return ledger.NewMessage(ledger.MessageKind(m.Kind), ledger.ID(m.Ledger), ledger.ReplicaID(m.From), ledger.ReplicaID(m.To), m.Term, options...)
 }
