'Not run' is said of work not to be repeated only when its home ledger was heard

Cause: in random runs a call with a key that had run was sent again to an instance that could not reach the home ledger, or was not ready, and was told 'not run'. A caller would send the work again under another key. Ruled out: a second run of the key (each had run once); the crash count. Change: such refusals say 'unknown, ask again with the same key'; a request that never found a slot is durably answered 'not run'; budgets start full.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -32,6 +32,7 @@
 	ErrUnknown    = errors.New("may have run")
 	ErrRefused    = errors.New("refused for ever")
 	ErrRetryLater = errors.New("not run, retry later")
+	ErrUnsettled  = errors.New("not run by this call, an earlier call with the same key may have run")
 	ErrNotFound   = errors.New("not found")
 	ErrConflict   = errors.New("conflict")
 	ErrInvalid    = errors.New("invalid argument")
--- a/core/traffic/request.go
+++ b/core/traffic/request.go
@@ -6,6 +6,8 @@
 
 	"papayaquay/core/home"
 	"papayaquay/core/outcome"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Request is an online request as a caller made it.
@@ -67,6 +69,16 @@
 // Trace returns the context that carries the request's span.
 func (r Request) Trace() context.Context { return r.trace }
 
+// doubt returns the error for a refusal before the key's home ledger was heard.
+// An earlier call with the caller's key may have run work that must not be
+// repeated, so that "not run" cannot be said.
+func (r Request) doubt(err error) error {
+	if r.once && !r.generated {
+		return errors.Mark(err, outcome.ErrUnsettled)
+	}
+	return err
+}
+
 // EventKind tells what an event reports.
 type EventKind uint8
 
@@ -159,5 +171,5 @@
 	if r.tries > 0 {
 		return outcome.ErrUnknown
 	}
-	return outcome.ErrNotRun
+	return r.request.doubt(outcome.ErrNotRun)
 }
--- a/core/traffic/system_admit.go
+++ b/core/traffic/system_admit.go
@@ -14,7 +14,7 @@
 // submit admits an online request or refuses it. A refusal here is "not run".
 func (w *World) submit(now time.Time, request Request, sink func(Event), accepted func(uint64)) {
 	if err := w.admit(now, request); err != nil {
-		sink(Event{kind: EventError, err: err})
+		sink(Event{kind: EventError, err: request.doubt(err)})
 		accepted(0)
 		return
 	}
@@ -165,7 +165,7 @@
 	stored := r.Reply().Answer()
 	switch {
 	case r.Err() != nil:
-		w.finish(number, row, Event{kind: EventError, err: outcome.ErrNotRun})
+		w.finish(number, row, Event{kind: EventError, err: row.request.doubt(outcome.ErrNotRun)})
 	case stored.Code() != outcome.Pending:
 		w.finish(number, row, Event{kind: EventFinal, answer: stored})
 	case r.Reply().Code() == outcome.Pending:
--- a/core/traffic/system_attempts.go
+++ b/core/traffic/system_attempts.go
@@ -135,8 +135,8 @@
 		return
 	}
 	w.abandon(row)
-	w.hedges = min(w.hedges+w.policy.hedgeShare, retryReserve)
-	w.retries = min(w.retries+w.policy.retryShare, retryReserve*retryReserve)
+	w.hedges = min(w.hedges+w.policy.hedgeShare, maxHedgeBudget)
+	w.retries = min(w.retries+w.policy.retryShare, maxRetryBudget)
 	w.learnLength(row)
 	row.answer = home.NewAnswer(outcome.OK, row.text, row.tokens, "", a.backend, now)
 	w.pass(now, row)
--- a/core/traffic/system_dispatch.go
+++ b/core/traffic/system_dispatch.go
@@ -15,7 +15,8 @@
 	sampledTargets  = 2
 	farFactor       = 4.0 // on the score of a server in another data centre
 	unknownFirst    = 0.05
-	retryReserve    = 3.0
+	maxHedgeBudget  = 3.0  // hedges saved up
+	maxRetryBudget  = 10.0 // retries saved up
 	failsafeSeconds = 0.001
 )
 
--- a/core/traffic/system_expire.go
+++ b/core/traffic/system_expire.go
@@ -44,5 +44,9 @@
 		w.conclude(now, number, row, outcome.Unknown, "no answer before the deadline")
 		return
 	}
+	if row.request.once && row.phase == phaseQueued {
+		w.conclude(now, number, row, outcome.NotRun, "no backend server had room before the deadline")
+		return
+	}
 	w.finish(number, row, Event{kind: EventError, err: row.refusal()})
 }
--- a/core/traffic/system_finish.go
+++ b/core/traffic/system_finish.go
@@ -89,7 +89,7 @@
 		return outcome.Cancelled
 	case errors.Is(e.err, outcome.ErrRefused):
 		return outcome.Refused
-	case errors.Is(e.err, outcome.ErrUnknown):
+	case errors.Is(e.err, outcome.ErrUnknown), errors.Is(e.err, outcome.ErrUnsettled):
 		return outcome.Unknown
 	default:
 		return outcome.NotRun
--- a/core/traffic/world.go
+++ b/core/traffic/world.go
@@ -138,6 +138,7 @@
 		accounts: table.New[string, accountRow](),
 		services: table.New[string, serviceRow](),
 		timers:   timer.New(),
+		retries:  maxRetryBudget,
 	}
 	for i := range w.firsts {
 		w.firsts[i] = hdrhistogram.New(1, maxFirstMicros, 2)
--- a/io/rpc/rpc.go
+++ b/io/rpc/rpc.go
@@ -100,6 +100,8 @@
 		return f
 	}
 	switch {
+	case errors.Is(err, outcome.ErrUnsettled):
+		return connect.CodeUnavailable, &papayaquayv1.Failure{Code: papayaquayv1.Code_CODE_UNKNOWN, RetryLater: true, RetryAfterMs: retryAfter.Milliseconds()}
 	case errors.Is(err, outcome.ErrInvalid):
 		return connect.CodeInvalidArgument, notRun(false)
 	case errors.Is(err, outcome.ErrNotFound):
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -204,10 +204,11 @@
 
 // checkAddresses checks the own addresses and the list of instances.
 func (f file) checkAddresses() string {
-	for key, address := range map[string]string{"peer_address": f.PeerAddress, "http_address": f.HTTPAddress} {
-		if reason := checkAddress(address); reason != "" {
-			return key + ": " + reason
-		}
+	if reason := checkAddress(f.PeerAddress); reason != "" {
+		return "peer_address: " + reason
+	}
+	if reason := checkAddress(f.HTTPAddress); reason != "" {
+		return "http_address: " + reason
 	}
 	names, addresses := make(map[string]bool), make(map[string]bool)
 	for n, i := range f.Instances {
