Services that refuse keys whose home ledger is out of reach

Cause: the setting cut_refuse was stored and did nothing. Change: such a service starts a request only when its key was granted, and refuses it as 'not run' otherwise.

--- a/core/traffic/system_admit.go
+++ b/core/traffic/system_admit.go
@@ -25,12 +25,24 @@
 		w.startOnce(now, w.last, row)
 		return
 	}
+	if w.cutRefuse(request.service) {
+		row.phase = phaseWaiting
+		w.claim(now, w.last, row, false)
+		return
+	}
 	if !request.generated {
 		w.claim(now, w.last, row, false)
 	}
 	w.enqueue(w.last, row)
 }
 
+// cutRefuse reports whether a service's requests start only when their home
+// ledger granted the key.
+func (w *World) cutRefuse(service string) bool {
+	object, ok := w.known.View().Get(config.NewRef(config.KindService, service))
+	return ok && object.Spec().CutRefuse()
+}
+
 // admit checks whether a request may start: the instance, the service, the
 // account's limits, the content's crash count and the queue.
 func (w *World) admit(now time.Time, request Request) error {
@@ -93,6 +105,9 @@
 func (w *World) claim(now time.Time, number uint64, row *requestRow, wait bool) {
 	row.claim = claimAsked
 	deadline := row.request.deadline
+	if patience := now.Add(startPatience); row.phase == phaseWaiting && !wait && patience.Before(deadline) {
+		deadline = patience
+	}
 	if !wait {
 		w.due.ArmBefore(now.Add(claimPatience))
 	}
@@ -120,6 +135,10 @@
 		return
 	}
 	switch stored := r.Reply().Answer(); {
+	case r.Err() != nil && w.cutRefuse(row.request.service):
+		w.abandon(row)
+		w.finish(number, row, Event{kind: EventError, err: row.refusal()})
+		return
 	case r.Err() != nil:
 		row.claim = claimGranted // the home ledger is out of reach
 	case stored.Code() != outcome.Pending:
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -34,10 +34,11 @@
 // newBench returns a world before the given number of engines of two slots.
 func newBench(c *qt.C, engines int, options ...PolicyOption) *bench {
 	b := &bench{c: c, now: time.Unix(1000, 0), state: home.New()}
-	view := config.NewView(1, []config.Object{config.NewObject(config.NewRef(config.KindService, "s"), config.NewSpec(config.WithProtocol(config.ProtocolEngine)), 1, false)})
+	view := config.NewView(1, []config.Object{config.NewObject(config.NewRef(config.KindService, "s"), config.NewSpec(config.WithProtocol(config.ProtocolEngine)), 1, false),
+		config.NewObject(config.NewRef(config.KindService, "strict"), config.NewSpec(config.WithProtocol(config.ProtocolEngine), config.WithCutRefuse(true)), 1, false)})
 	var targets []control.Target
 	for n := range engines {
-		row := member.NewBackend(fmt.Sprintf("e%d", n), "http://x", "a", member.ProtocolEngine, 2, 1, 1, member.WithServices("s"))
+		row := member.NewBackend(fmt.Sprintf("e%d", n), "http://x", "a", member.ProtocolEngine, 2, 1, 1, member.WithServices("s", "strict"))
 		targets = append(targets, control.NewTarget(row, &control.Usage{}, true))
 	}
 	snapshot := control.NewSnapshot(view, targets, []ledger.ID{"home/a"}, control.WithLoaded(true))
@@ -161,6 +162,11 @@
 			r := NewRequest(home.NewKey("acc", "k"), "none", "p", 4, b.now.Add(time.Second))
 			b.step(Submit(r, func(e Event) { b.events = append(b.events, e) }, func(uint64) {}))
 		}, outcome.ErrNotFound},
+		{"strict service without its home ledger", func(b *bench) {
+			b.homeDown = true
+			r := NewRequest(home.NewKey("acc", "k"), "strict", "p", 4, b.now.Add(time.Second))
+			b.step(Submit(r, func(e Event) { b.events = append(b.events, e) }, func(uint64) {}))
+		}, outcome.ErrNotRun},
 		{"past its deadline", func(b *bench) {
 			r := NewRequest(home.NewKey("acc", "k"), "s", "p", 4, b.now)
 			b.step(Submit(r, func(e Event) { b.events = append(b.events, e) }, func(uint64) {}))
@@ -207,6 +213,18 @@
 	c.Assert(notRun, qt.Equals, 1)
 }
 
+// TestStrictService answers a request of a service that waits for its claim.
+func TestStrictService(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, 1)
+	r := NewRequest(home.NewKey("acc", "k"), "strict", "p", 4, b.now.Add(time.Second))
+	b.step(Submit(r, func(e Event) { b.events = append(b.events, e) }, func(uint64) {}))
+	b.step(Text(1, "a ", 1), Complete(1))
+	e, text := b.final()
+	c.Assert(e.Answer().Text(), qt.Equals, "a ")
+	c.Assert(text, qt.Equals, "a ")
+}
+
 // TestFirstRetry retries the first request of a fresh thread while another one
 // waits for a slot: the retry budget does not start empty.
 func TestFirstRetry(t *testing.T) {
