--- a/core/ledger/system_replicate.go
+++ b/core/ledger/system_replicate.go
@@ -134,9 +134,13 @@
 	}
 	w.follow(now, row, m.term, m.from, m.source)
 	if m.snapshot.index > row.commit {
+		if row.log.termAt(m.snapshot.index) != m.snapshot.term {
+			// The log is dropped; until the snapshot is on disk only what was
+			// committed before can be confirmed.
+			row.stable = min(row.stable, row.commit)
+		}
 		row.log.compact(m.snapshot)
 		row.commit = m.snapshot.index
-		row.stable = max(min(row.stable, row.log.lastIndex()), m.snapshot.index)
 		row.restored = false
 		w.save(row, NewSnapshotRecord(row.id, row.self, m.snapshot))
 	}
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -188,8 +188,13 @@
 // save queues a record for the disk.
 func (w *World) save(row *replicaRow, record Record) {
 	w.records = append(w.records, record)
-	if record.kind == RecordEntry {
+	switch record.kind {
+	case RecordEntry:
 		w.noteSync(row.id, record.entry.index, record.entry.term)
+	case RecordSnapshot:
+		if record.snapshot.index > row.stable && record.snapshot.index == row.log.lastIndex() {
+			w.noteSync(row.id, record.snapshot.index, record.snapshot.term)
+		}
 	}
 }
 
--- a/core/ledger/world_test.go
+++ b/core/ledger/world_test.go
@@ -12,6 +12,9 @@
 // testLedger is the ledger of all tests here.
 const testLedger ID = "home/test"
 
+// maxExchange bounds the messages that follow from each other at one time.
+const maxExchange = 100_000
+
 // diskRow is what the disk of one instance holds.
 type diskRow struct {
 	nonce int
@@ -100,6 +103,11 @@
 	if sequence != 0 {
 		n.syncs = append(n.syncs, pendingSync{sequence: sequence, records: records})
 	}
+	for _, m := range messages {
+		if m.Kind() == MessageAppendReply && !m.Reject() && m.Index() > n.disk.log.lastIndex() {
+			c.t.Fatalf("%s confirmed %d, durable is %d", m.From(), m.Index(), n.disk.log.lastIndex())
+		}
+	}
 	c.network = append(c.network, messages...)
 	for _, step := range committed {
 		c.check(n, step)
@@ -263,7 +271,10 @@
 	for _, n := range c.nodes {
 		c.run(n)
 	}
-	for len(c.network) > 0 {
+	for delivered := 0; len(c.network) > 0; delivered++ {
+		if delivered > maxExchange {
+			c.t.Fatalf("messages never come to rest: %v, next %+v", c.describe(), c.network[:min(len(c.network), 4)])
+		}
 		c.deliver(0, false)
 		for _, n := range c.nodes {
 			for len(n.syncs) > 0 && !n.frozen {
