Defaults and the lost-answer rule stand once

Cause: read of the whole change. Six defaults of limits stood in io/settings and again in core/, where a change of one (the hedge share) had to be made twice; the rule when a started request has lost its answer stood in expire and in ExpireDue. Ruled out: the accessor and wire-form runs that are alike in shape only, and generated code. Change: io/settings takes the constants of core/; requestRow.lost.

--- a/core/home/state.go
+++ b/core/home/state.go
@@ -34,6 +34,12 @@
 	seen    time.Time
 }
 
+// lost reports whether the only attempt of a started request can no longer
+// return an answer.
+func (r *requestRow) lost(at time.Time) bool {
+	return r.started && r.answer.code == outcome.Pending && at.After(r.until.Add(lostAnswerGrace))
+}
+
 // suspectRow counts backend servers lost while they ran a fingerprint.
 type suspectRow struct {
 	crashes  int
@@ -147,7 +153,7 @@
 // attempt can no longer return.
 func (s *State) expire(c Command) Reply {
 	s.requests.Each(func(key Key, row *requestRow) {
-		if row.started && row.answer.code == outcome.Pending && c.at.After(row.until.Add(lostAnswerGrace)) {
+		if row.lost(c.at) {
 			row.answer = NewAnswer(outcome.Unknown, "", 0, reasonAnswerLost, "", c.at)
 		}
 		if row.answer.code != outcome.Pending && c.at.Sub(row.seen) > s.retention {
@@ -177,8 +183,7 @@
 func (s *State) ExpireDue(at time.Time) bool {
 	due := false
 	s.requests.Each(func(_ Key, row *requestRow) {
-		lost := row.started && row.answer.code == outcome.Pending && at.After(row.until.Add(lostAnswerGrace))
-		due = due || lost || at.Sub(row.seen) > s.retention
+		due = due || row.lost(at) || at.Sub(row.seen) > s.retention
 	})
 	s.jobs.Each(func(key Key, job *jobRow) {
 		due = due || job.reclaimable(at) ||
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -9,6 +9,10 @@
 	"strings"
 	"time"
 
+	"papayaquay/core/control"
+	"papayaquay/core/member"
+	"papayaquay/core/traffic"
+
 	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
 )
@@ -16,17 +20,11 @@
 // ErrInvalid marks a file that cannot be used.
 var ErrInvalid = errors.New("invalid settings")
 
-// Default values.
+// Default values of what no package of core/ decides; the others are theirs.
 const (
 	DefaultTrafficThreads = 2
-	DefaultCompactAfter   = 5000
 	DefaultStopBound      = 30 * time.Second
 	DefaultBalancerPause  = 2 * time.Second
-	DefaultItemLease      = 10 * time.Second
-	DefaultProbeInterval  = 500 * time.Millisecond
-	DefaultQueueLimit     = 2000
-	DefaultHedgeShare     = 0.05
-	DefaultRetryShare     = 0.2
 
 	maxTrafficThreads = 64
 )
@@ -108,10 +106,10 @@
 		TrafficThreads: DefaultTrafficThreads,
 		LogLevel:       "info",
 		Limits: limits{
-			CompactAfter: DefaultCompactAfter, StopBound: duration(DefaultStopBound),
-			BalancerPause: duration(DefaultBalancerPause), ItemLease: duration(DefaultItemLease),
-			ProbeInterval: duration(DefaultProbeInterval), QueueLimit: DefaultQueueLimit,
-			HedgeShare: DefaultHedgeShare, RetryShare: DefaultRetryShare,
+			CompactAfter: control.DefaultCompactAfter, StopBound: duration(DefaultStopBound),
+			BalancerPause: duration(DefaultBalancerPause), ItemLease: duration(control.DefaultLease),
+			ProbeInterval: duration(member.DefaultProbeInterval), QueueLimit: traffic.DefaultQueueLimit,
+			HedgeShare: traffic.DefaultHedgeShare, RetryShare: traffic.DefaultRetryShare,
 		},
 	}
 }
