--- /dev/null
+++ b/core/call/call.go
@@ -0,0 +1,132 @@
+// Package call sends calls of one instance to another one or to the leader of
+// a ledger, and repeats them until they are answered or their deadline passes.
+package call
+
+import "time"
+
+// Target is where a call goes.
+type Target uint8
+
+// Targets.
+const (
+	TargetNode    Target = iota + 1 // the instance with the given address
+	TargetControl                   // the leader of the control ledger
+	TargetJobs                      // the leader of the jobs ledger
+)
+
+// Kind tells what a call asks for.
+type Kind uint8
+
+// Kinds of calls.
+const (
+	KindPropose  Kind = iota + 1 // apply an encoded command to the target's ledger
+	KindFollow                   // changes of directory and configuration
+	KindUsage                    // online load of an entry
+	KindDocument                 // the newest configuration document, surely
+	KindPage                     // results of a job
+	KindBody                     // the body of an item
+	KindRetire                   // empty an instance
+	KindRetired                  // whether an instance was emptied
+)
+
+// Status is the outcome of a call.
+type Status uint8
+
+// Statuses.
+const (
+	StatusDone     Status = iota + 1
+	StatusRedirect        // not the leader; the reply may name it
+	StatusUnknown         // the subject does not exist
+	StatusFull            // refused for good, nothing was changed
+	StatusTimeout         // no answer in time; the call may have been served
+	StatusUnsent          // no answer in time and the call was never sent
+)
+
+// Call is one call of this instance.
+type Call struct {
+	kind     Kind
+	target   Target
+	address  string
+	payload  []byte
+	hold     time.Duration
+	deadline time.Time
+}
+
+// Option sets optional fields of a call.
+type Option func(*Call)
+
+// WithAddress sets the instance of a TargetNode.
+func WithAddress(address string) Option { return func(c *Call) { c.address = address } }
+
+// WithHold lets the other side wait for news before it answers.
+func WithHold(hold time.Duration) Option { return func(c *Call) { c.hold = hold } }
+
+// New returns a call; payload is encoded by the caller.
+func New(kind Kind, target Target, deadline time.Time, payload []byte, options ...Option) Call {
+	c := Call{kind: kind, target: target, payload: payload, deadline: deadline}
+	for _, option := range options {
+		option(&c)
+	}
+	return c
+}
+
+// Kind returns what the call asks for.
+func (c Call) Kind() Kind { return c.kind }
+
+// Target returns where the call goes.
+func (c Call) Target() Target { return c.target }
+
+// Request is a call on its way.
+type Request struct {
+	number  uint64
+	kind    Kind
+	hold    time.Duration
+	payload []byte
+}
+
+// NewRequest returns a request under the sender's number.
+func NewRequest(number uint64, kind Kind, hold time.Duration, payload []byte) Request {
+	return Request{number: number, kind: kind, hold: hold, payload: payload}
+}
+
+// Number returns the sender's number.
+func (r Request) Number() uint64 { return r.number }
+
+// Kind returns what the call asks for.
+func (r Request) Kind() Kind { return r.kind }
+
+// Hold returns how long the answer may wait for news.
+func (r Request) Hold() time.Duration { return r.hold }
+
+// Payload returns the encoded content.
+func (r Request) Payload() []byte { return r.payload }
+
+// Reply answers a request.
+type Reply struct {
+	number  uint64
+	status  Status
+	leader  string
+	payload []byte
+}
+
+// NewReply returns a reply to the request with the given number.
+func NewReply(number uint64, status Status, payload []byte) Reply {
+	return Reply{number: number, status: status, payload: payload}
+}
+
+// NewRedirect returns a reply of an instance that does not lead the ledger.
+func NewRedirect(number uint64, leader string) Reply {
+	return Reply{number: number, status: StatusRedirect, leader: leader}
+}
+
+// Number returns the number of the request.
+func (r Reply) Number() uint64 { return r.number }
+
+// Status returns the outcome.
+func (r Reply) Status() Status { return r.status }
+
+// Leader returns the address to ask instead, if known.
+func (r Reply) Leader() string { return r.leader }
+
+// Payload returns the encoded answer.
+func (r Reply) Payload() []byte { return r.payload }
--- /dev/null
+++ b/core/cluster/host_jobs.go
@@ -0,0 +1,150 @@
+package cluster
+
+import (
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/call"
+	"papayaquay/core/event"
+	"papayaquay/core/ledger"
+	"papayaquay/core/runner"
+	"papayaquay/core/table"
+	"papayaquay/core/usage"
+)
+
+// Limits and timing of the jobs ledger.
+const (
+	jobsCompactAfter = 2500 // applied entries before a snapshot
+	jobsRetention    = 10 * time.Minute
+	jobsExpireEvery  = 30 * time.Second
+)
+
+// waiterRow is a read of results that waits for news.
+type waiterRow struct {
+	query Query
+	due   time.Time
+}
+
+// jobsHost is the sub-world of a store instance's state machine.
+type jobsHost struct {
+	state    *batch.State
+	runner   *runner.World
+	usage    *usage.World
+	waiters  *table.Table[askerKey, waiterRow]
+	expireAt time.Time
+	encoding bool
+}
+
+// newJobsHost returns the sub-world in its initial state.
+func newJobsHost(r *runner.World) *jobsHost {
+	return &jobsHost{state: batch.New(), runner: r, usage: usage.New(),
+		waiters: table.New[askerKey, waiterRow]()}
+}
+
+// Online returns the online requests on a server, for the runner.
+func (w *World) Online(backend string) int {
+	if w.jobs == nil {
+		return 0
+	}
+	return w.jobs.usage.Online(backend)
+}
+
+// runJobs runs items while this instance leads the jobs ledger.
+func (w *World) runJobs(now time.Time) {
+	h := w.jobs
+	if h == nil {
+		return
+	}
+	h.usage.Run(now)
+	leads := w.ledgers.Leads(now, JobsLedger)
+	h.runner.Lead(leads, h.state)
+	if !leads {
+		return
+	}
+	h.runner.View(w.config, w.directory.Servers(now))
+	h.runner.Run(now)
+	if finishes := h.runner.Output(); len(finishes) > 0 {
+		w.proposeBatch(batch.Complete(finishes))
+	}
+	if now.After(h.expireAt) {
+		if !h.expireAt.IsZero() {
+			w.proposeBatch(batch.Expire(w.wall().Add(-jobsRetention)))
+		}
+		h.expireAt = now.Add(jobsExpireEvery)
+	}
+}
+
+// proposeBatch proposes a command of this leader's own.
+func (w *World) proposeBatch(c batch.Command) {
+	payload, err := w.codec.Batch.Encode(c)
+	if err == nil {
+		_, _, err = w.ledgers.Propose(JobsLedger, payload)
+	}
+	if err != nil {
+		event.CommandInvalid.Log(w.logger, "propose", int(c.Kind()), "error", err)
+	}
+}
+
+// next returns the next deadline.
+func (h *jobsHost) next(now time.Time) (time.Time, bool) {
+	next, ok := h.runner.Next(now)
+	h.waiters.Each(func(_ askerKey, row *waiterRow) {
+		if !ok || row.due.Before(next) {
+			next, ok = row.due, true
+		}
+	})
+	return next, ok
+}
+
+// applyBatch applies a committed command.
+func (w *World) applyBatch(entry ledger.Entry) (call.Status, error) {
+	command, err := w.codec.Batch.Decode(entry.Payload())
+	if err != nil {
+		return 0, err
+	}
+	h := w.jobs
+	answer := h.state.Apply(command)
+	switch command.Kind() {
+	case batch.CommandSubmit:
+		if j, ok := h.state.Job(command.Order().ID()); ok {
+			h.runner.Accept(j)
+		}
+	case batch.CommandEnd:
+		h.runner.Drop(command.Subject())
+	case batch.CommandFinish:
+		for _, f := range command.Finishes() {
+			if j, ok := h.state.Job(f.Job()); ok {
+				h.runner.Settled(j)
+			}
+		}
+	}
+	w.again = true
+	switch answer {
+	case batch.AnswerFull:
+		return call.StatusFull, nil
+	case batch.AnswerUnknown:
+		return call.StatusUnknown, nil
+	}
+	return call.StatusDone, nil
+}
+
+// restoreBatch loads a snapshot.
+func (w *World) restoreBatch(data []byte) error {
+	export, err := w.codec.BatchState.Decode(data)
+	if err != nil {
+		return err
+	}
+	w.jobs.state = batch.Restore(export.Jobs(), export.Retirees())
+	return nil
+}
+
+// Retiring reports whether an instance is to be emptied.
+func (w *World) Retiring(instance string) bool {
+	return w.jobs != nil && w.jobs.state.Retiring(instance)
+}
+
+// Place returns the data centre of an instance, as far as known.
+func (w *World) Place(instance string) string {
+	n, _ := w.directory.Node(instance)
+	return n.DataCentre()
+}
--- /dev/null
+++ b/core/cluster/system_follow.go
@@ -0,0 +1,118 @@
+package cluster
+
+import (
+	"time"
+
+	"papayaquay/core/call"
+	"papayaquay/core/event"
+	"papayaquay/core/ledger"
+	"papayaquay/core/registry"
+)
+
+// following returns what this instance tells an upstream.
+func (w *World) following(row *upstreamRow) Following {
+	return NewFollowing(w.self, row.epoch, row.version, w.document.Number(), w.hosted() != JobsLedger || !w.self.Fresh())
+}
+
+// poll asks an upstream for news and waits for them.
+func (w *World) poll(now time.Time, address string, row *upstreamRow, done func(call.Reply)) {
+	payload, err := w.codec.Following.Encode(w.following(row))
+	if err != nil {
+		w.upstreams.lost(now, address)
+		done(call.NewReply(0, call.StatusUnsent, nil))
+		return
+	}
+	c := call.New(call.KindFollow, call.TargetNode, now.Add(followHold+followTimeout), payload,
+		call.WithAddress(address), call.WithHold(followHold))
+	w.calls.Start(now, c, func(reply call.Reply) {
+		if reply.Status() != call.StatusDone {
+			w.upstreams.lost(w.now, address)
+		} else {
+			w.takeNews(address, reply.Payload())
+		}
+		w.again = true
+		done(reply)
+	})
+}
+
+// tellUpstreams tells each upstream at once what changed about this instance.
+func (w *World) tellUpstreams(now time.Time) {
+	w.upstreams.rows.Each(func(address string, row *upstreamRow) {
+		payload, err := w.codec.Following.Encode(w.following(row))
+		if err != nil {
+			return
+		}
+		c := call.New(call.KindFollow, call.TargetNode, now.Add(followTimeout), payload, call.WithAddress(address))
+		w.calls.Start(now, c, func(reply call.Reply) {
+			if reply.Status() == call.StatusDone {
+				w.takeNews(address, reply.Payload())
+			}
+		})
+	})
+}
+
+// takeNews merges an upstream's answer.
+func (w *World) takeNews(address string, payload []byte) {
+	news, err := w.codec.News.Decode(payload)
+	if err != nil {
+		event.CommandInvalid.Log(w.logger, "from", address, "error", err)
+		return
+	}
+	w.directory.Take(w.now, news.update)
+	if row := w.upstreams.rows.Get(address); row != nil {
+		row.epoch, row.version = news.update.Epoch(), news.update.Version()
+	}
+	w.setDocument(news.document, "news of "+address)
+	w.form(news.founders)
+}
+
+// setDocument brings a newer configuration into force on this instance.
+func (w *World) setDocument(d registry.Document, source string) {
+	if d.Number() <= w.document.Number() {
+		return
+	}
+	config, err := w.decode(d.Content())
+	if err != nil {
+		event.CommandInvalid.Log(w.logger, "config", d.Number(), "error", err)
+		return
+	}
+	event.ConfigDecided.Log(w.logger, "config", d.Number(), "before", w.document.Number(), "source", source,
+		"routes", len(config.Routes()))
+	w.document, w.config, w.stale = d, config, true
+}
+
+// form founds the jobs ledger here, if this replica is among the founders.
+func (w *World) form(founders []ledger.Member) {
+	if len(founders) == 0 {
+		return
+	}
+	w.founders = founders
+	if w.hosted() == JobsLedger {
+		w.ledgers.Form(w.now, JobsLedger, founders)
+	}
+}
+
+// news answers a follower's poll.
+func (w *World) news(asker askerKey, f Following) {
+	n := News{update: w.directory.Since(f.epoch, f.version)}
+	if f.number < w.document.Number() {
+		n.document = w.document
+	}
+	if !f.founded && w.registry != nil {
+		n.founders = w.registry.state.Founders()
+	}
+	payload, err := w.codec.News.Encode(n)
+	if err != nil {
+		event.SnapshotFailed.Log(w.logger, "to", asker.from, "error", err)
+		return
+	}
+	w.answer(asker, call.StatusDone, payload)
+}
+
+// hasNews reports whether a poll must be answered at once.
+func (w *World) hasNews(row *pollRow) bool {
+	if row.urgent < w.directory.Urgent() || row.following.number < w.document.Number() {
+		return true
+	}
+	return !row.following.founded && w.registry != nil && len(w.registry.state.Founders()) > 0
+}
--- /dev/null
+++ b/core/cluster/system_ledger.go
@@ -0,0 +1,144 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"papayaquay/core/call"
+	"papayaquay/core/directory"
+	"papayaquay/core/event"
+	"papayaquay/core/ledger"
+)
+
+// handOverRetry is the pause between attempts to give up the lead.
+const handOverRetry = 50 * time.Millisecond
+
+// runLedgers runs the hosted ledger and applies what was committed.
+func (w *World) runLedgers(now time.Time) {
+	id := w.hosted()
+	if id == "" {
+		return
+	}
+	w.setContacts(id)
+	if w.leaving != nil {
+		w.handOver(now)
+	}
+	w.found(now)
+	w.ledgers.Run(now)
+	messages, records, sequence, committed := w.ledgers.Output()
+	for _, m := range messages {
+		w.outbox.message(m)
+	}
+	if sequence != 0 {
+		w.persist(sequence, records)
+	}
+	for _, c := range committed {
+		w.apply(c)
+	}
+	if !w.ledgers.Leads(now, id) && !w.leads(id) {
+		w.proposals.abandon(w.redirect)
+	}
+	w.proposals.checkBarriers(func(term, round uint64) (bool, bool) { return w.ledgers.Passed(id, term, round) })
+	w.compact(id)
+	w.noteMembers()
+}
+
+// leads reports whether this replica is the leader, whatever its lease.
+func (w *World) leads(id ledger.ID) bool {
+	for _, s := range w.ledgers.Statuses() {
+		if s.Ledger() == id {
+			return s.Role() == ledger.RoleLeader
+		}
+	}
+	return false
+}
+
+// setContacts tells the ledger where other replicas may be.
+func (w *World) setContacts(id ledger.ID) {
+	if w.contacts == w.directory.Version() {
+		return
+	}
+	w.contacts = w.directory.Version()
+	var contacts []string
+	for _, n := range w.directory.Nodes(w.self.Kind()) {
+		contacts = append(contacts, n.Address())
+	}
+	if w.self.Kind() == directory.KindControl {
+		contacts = append(contacts, w.seeds...)
+	}
+	w.ledgers.SetContacts(id, contacts)
+}
+
+// handOver gives up the lead before a planned stop.
+func (w *World) handOver(now time.Time) {
+	w.leaving(w.ledgers.HandOver(now))
+}
+
+// apply hands a committed step to the state machine and answers its caller.
+func (w *World) apply(c ledger.Committed) {
+	if c.Snapshot().Index() > 0 {
+		w.restore(c.Snapshot())
+		return
+	}
+	entry := c.Entry()
+	asker, ours, waits := w.proposals.applied(entry)
+	if entry.Kind() != ledger.EntryCommand {
+		if waits {
+			w.redirect(asker)
+		}
+		return
+	}
+	var status call.Status
+	var err error
+	if w.registry != nil {
+		status, err = w.applyRegistry(entry)
+	} else {
+		status, err = w.applyBatch(entry)
+	}
+	if err != nil {
+		event.CommandInvalid.Log(w.logger, "ledger", c.Ledger(), "index", entry.Index(), "error", err)
+		status = call.StatusFull
+	}
+	switch {
+	case !waits:
+	case ours:
+		w.answer(asker, status, nil)
+	default:
+		w.redirect(asker)
+	}
+}
+
+// restore loads a snapshot into the state machine. A founder's base has no
+// content.
+func (w *World) restore(s ledger.Snapshot) {
+	if len(s.Data()) == 0 {
+		return
+	}
+	var err error
+	if w.registry != nil {
+		err = w.restoreRegistry(s.Data())
+	} else {
+		err = w.restoreBatch(s.Data())
+	}
+	if err != nil {
+		event.CommandInvalid.Log(w.logger, "snapshot", s.Index(), "error", err)
+		return
+	}
+	event.LedgerRestored.Log(w.logger, "ledger", w.hosted(), "index", s.Index())
+}
+
+// noteMembers logs a new member list.
+func (w *World) noteMembers() {
+	for _, s := range w.ledgers.Statuses() {
+		text := s.Leader()
+		for _, m := range s.Members() {
+			text += fmt.Sprintf(" %s:%s:%t", m.Instance(), m.Replica(), m.Voter())
+		}
+		if text == w.noted {
+			continue
+		}
+		w.noted = text
+		event.MemberList.Log(w.logger, "ledger", s.Ledger(), "role", s.Role().String(), "term", s.Term(),
+			"commit", s.Commit(), "leader", s.Leader(), "members", text)
+	}
+}
--- /dev/null
+++ b/core/entry/input.go
@@ -0,0 +1,28 @@
+package entry
+
+// Input is one message to the world.
+type Input struct {
+	request *Request
+	decide  func(Decision)
+	number  uint64
+	end     End
+	load    Load
+	head    bool
+}
+
+// Submit starts a request. decide is called on the traffic thread with each
+// next step and must not block; every ActionSend must be answered by Ended.
+func Submit(r Request, decide func(Decision)) Input { return Input{request: &r, decide: decide} }
+
+// Answering tells that the head of the server's answer arrived.
+func Answering(number uint64, load Load) Input {
+	return Input{number: number, load: load, head: true}
+}
+
+// Ended tells how the current attempt of a request ended.
+func Ended(number uint64, end End, load Load) Input {
+	return Input{number: number, end: end, load: load}
+}
+
+// Changed tells that the control world published something new.
+func Changed() Input { return Input{} }
--- /dev/null
+++ b/core/entry/request.go
@@ -0,0 +1,129 @@
+// Package entry decides for online requests without a key: the connection is
+// the only reader of the answer, so nothing of it is stored. The world chooses
+// backend servers, repeats what may be repeated and refuses what cannot be
+// served in time.
+package entry
+
+import (
+	"time"
+
+	"papayaquay/core/member"
+)
+
+// Request is an online request as the traffic thread sees it.
+type Request struct {
+	id         string
+	service    string
+	repeatable bool
+	attempts   int
+	arrived    time.Time
+	deadline   time.Time
+	objective  time.Duration
+}
+
+// NewRequest returns a request for a service. id is the caller's and only
+// logged; attempts bounds the servers that may run it; deadline is when the
+// caller must have an answer.
+func NewRequest(id, service string, repeatable bool, attempts int, arrived, deadline time.Time, objective time.Duration) Request {
+	return Request{id: id, service: service, repeatable: repeatable, attempts: max(attempts, 1),
+		arrived: arrived, deadline: deadline, objective: objective}
+}
+
+// ID returns the caller's id of the request.
+func (r Request) ID() string { return r.id }
+
+// Service returns the service to run it.
+func (r Request) Service() string { return r.service }
+
+// Action is what to do with a request.
+type Action uint8
+
+// Actions.
+const (
+	ActionSend   Action = iota + 1 // send it to a backend server
+	ActionRefuse                   // it has not run and will not run
+	ActionFail                     // it may have run and has no answer
+)
+
+// Decision is the next step of a request.
+type Decision struct {
+	action  Action
+	number  uint64
+	backend member.Backend
+	retry   time.Duration
+	reason  string
+}
+
+// Action returns what to do.
+func (d Decision) Action() Action { return d.action }
+
+// Number identifies the request on this instance.
+func (d Decision) Number() uint64 { return d.number }
+
+// Backend returns the server of an ActionSend.
+func (d Decision) Backend() member.Backend { return d.backend }
+
+// Retry returns after what time a refused request may be sent again, 0 if
+// unknown.
+func (d Decision) Retry() time.Duration { return d.retry }
+
+// Reason says why a request was refused or failed.
+func (d Decision) Reason() string { return d.reason }
+
+// End tells how an attempt ended.
+type End uint8
+
+// Ends of attempts.
+const (
+	EndAnswered    End = iota + 1 // the server's answer went to the caller
+	EndUnreachable                // no connection to the server, nothing was sent
+	EndNotRun                     // the server said that it did not run the request
+	EndLost                       // sent, but no usable answer came
+	EndBroken                     // the answer broke off after a part went to the caller
+	EndGone                       // the caller left or its time is over
+)
+
+// String returns the end's name for logs.
+func (e End) String() string {
+	names := [...]string{"unknown", "answered", "unreachable", "not run", "lost", "broken", "gone"}
+	if int(e) >= len(names) {
+		return names[0]
+	}
+	return names[e]
+}
+
+// Load is what a backend server says of itself in an answer.
+type Load struct {
+	running int
+	waiting int
+	slots   int
+	pace    int
+}
+
+// NewLoad returns a report: requests running and waiting, slots, and how long
+// work takes now in percent of the usual.
+func NewLoad(running, waiting, slots, pace int) Load {
+	return Load{running: running, waiting: waiting, slots: slots, pace: pace}
+}
+
+// Known reports whether the server sent a report.
+func (l Load) Known() bool { return l.slots > 0 }
+
+// requestRow is a request under way.
+type requestRow struct {
+	request Request
+	decide  func(Decision)
+	tried   []string // servers that refused or lost it
+	runs    int      // attempts that may have run
+	backend string   // of the current attempt
+	sentAt  time.Time
+}
+
+// serverRow is what this entry knows of a backend server by its own requests.
+type serverRow struct {
+	inFlight int
+	load     Load
+	loadAt   time.Time
+	failures int // in a row
+	paused   time.Time
+}
--- /dev/null
+++ b/core/entry/system_choose.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"papayaquay/core/directory"
+	"papayaquay/core/member"
+)
+
+// choice is the server picked for a request, with what decided.
+type choice struct {
+	backend    member.Backend
+	online     int // requests of other entries on it
+	batch      int
+	candidates int
+	weight     float64
+}
+
+// nearWeight prefers servers in the same data centre among equals.
+const nearWeight = 1.5
+
+// choose picks a server at random, weighted by its free slots. Without a free
+// slot anywhere it takes one whose batch items will give way, else the one
+// with the fewest online requests.
+func (w *World) choose(now time.Time, row *requestRow) (choice, bool) {
+	servers := w.candidates(now, row, false)
+	if len(servers) == 0 {
+		servers = w.candidates(now, row, true)
+	}
+	for _, batchCounts := range []bool{true, false} {
+		if c, ok := w.draw(now, servers, batchCounts); ok {
+			return c, true
+		}
+	}
+	return w.least(now, servers)
+}
+
+// candidates returns the servers that may get the request; desperate takes
+// paused and silent ones too.
+func (w *World) candidates(now time.Time, row *requestRow, desperate bool) []directory.Server {
+	var servers []directory.Server
+	for _, s := range w.snapshot().Servers() {
+		id := s.Backend().ID()
+		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) {
+			continue
+		}
+		state := w.servers.Get(id)
+		paused := state != nil && now.Before(state.paused)
+		if desperate || (!paused && !s.Silent()) {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
+// occupancy returns the online requests and batch items on a server as far as
+// known here.
+func (w *World) occupancy(now time.Time, id string) (online, batch int) {
+	load := w.snapshot().Load(id)
+	online, batch = load.Online(), load.Batch()
+	if state := w.servers.Get(id); state != nil {
+		online += state.inFlight
+		if reported := state.load.running + state.load.waiting; now.Sub(state.loadAt) < loadFresh && reported > online+batch {
+			online = reported - batch
+		}
+	}
+	return online, batch
+}
+
+// draw picks among servers with free slots.
+func (w *World) draw(now time.Time, servers []directory.Server, batchCounts bool) (choice, bool) {
+	var choices []choice
+	sum := 0.0
+	for _, s := range servers {
+		online, batch := w.occupancy(now, s.Backend().ID())
+		used := online
+		if batchCounts {
+			used += batch
+		}
+		free := float64(s.Backend().Slots() - used)
+		if free <= 0 {
+			continue
+		}
+		weight := free * free
+		if s.Backend().DataCentre() == w.zone {
+			weight *= nearWeight
+		}
+		sum += weight
+		choices = append(choices, choice{backend: s.Backend(), online: online, batch: batch, weight: weight})
+	}
+	left := w.random.Float64() * sum
+	for _, c := range choices {
+		if left -= c.weight; left <= 0 {
+			c.candidates = len(servers)
+			return c, true
+		}
+	}
+	return choice{}, false
+}
+
+// least picks the server with the fewest online requests.
+func (w *World) least(now time.Time, servers []directory.Server) (choice, bool) {
+	var best choice
+	found := false
+	for _, s := range servers {
+		online, batch := w.occupancy(now, s.Backend().ID())
+		if !found || online < best.online {
+			best, found = choice{backend: s.Backend(), online: online, batch: batch, candidates: len(servers)}, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/core/entry/world.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"papayaquay/core/cluster"
+	"papayaquay/core/event"
+	"papayaquay/core/table"
+	"papayaquay/core/usage"
+)
+
+// Timing of servers that fail.
+const (
+	fullPause    = 60 * time.Millisecond  // for a server that refused a request
+	failurePause = 200 * time.Millisecond // doubled with each failure in a row
+	maxPause     = 5 * time.Second
+	loadFresh    = 150 * time.Millisecond // age at which a server's own report is void
+)
+
+// World holds the online requests of one traffic thread.
+type World struct {
+	logger   *slog.Logger
+	random   *rand.Rand
+	snapshot func() *cluster.Snapshot
+	report   func(usage.Report)
+	zone     string
+
+	requests *table.Table[uint64, requestRow]
+	servers  *table.Table[string, serverRow]
+	last     uint64
+	changed  bool // counts of requests in flight changed in this tick
+}
+
+// Option changes a world at construction.
+type Option func(*World)
+
+// WithLogger sets the logger.
+func WithLogger(logger *slog.Logger) Option { return func(w *World) { w.logger = logger } }
+
+// WithSeed seeds the choice among servers.
+func WithSeed(seed uint64) Option {
+	return func(w *World) { w.random = rand.New(rand.NewPCG(seed, 1)) }
+}
+
+// WithReport sets the function told of the requests in flight.
+func WithReport(report func(usage.Report)) Option { return func(w *World) { w.report = report } }
+
+// New returns a world without requests. snapshot returns the newest view of
+// the control world; dataCentre is this entry's.
+func New(dataCentre string, snapshot func() *cluster.Snapshot, options ...Option) *World {
+	w := &World{
+		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
+		snapshot: snapshot, report: func(usage.Report) {}, zone: dataCentre,
+		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](),
+	}
+	for _, option := range options {
+		option(w)
+	}
+	return w
+}
+
+// Step runs one tick.
+func (w *World) Step(now time.Time, inputs []Input) {
+	w.changed = false
+	for _, input := range inputs {
+		switch {
+		case input.request != nil:
+			w.admit(now, *input.request, input.decide)
+		case input.head:
+			w.note(now, input.number, input.load)
+		case input.end != 0:
+			w.ended(now, input)
+		}
+	}
+	if w.changed {
+		w.report(w.running())
+	}
+}
+
+// Next returns no deadline: the goroutines that serve callers watch the time.
+func (w *World) Next() (time.Time, bool) { return time.Time{}, false }
+
+// Len returns the number of requests under way.
+func (w *World) Len() int { return w.requests.Len() }
+
+// running returns the requests in flight by server.
+func (w *World) running() usage.Report {
+	running := make(map[string]int)
+	w.servers.Each(func(id string, row *serverRow) {
+		if row.inFlight > 0 {
+			running[id] = row.inFlight
+		}
+	})
+	return usage.NewReport(running)
+}
+
+// admit takes a new request.
+func (w *World) admit(now time.Time, r Request, decide func(Decision)) {
+	w.last++
+	row := w.requests.Put(w.last, requestRow{request: r, decide: decide})
+	w.next(now, w.last, row)
+}
+
+// server returns the row of a server.
+func (w *World) server(id string) *serverRow {
+	if row := w.servers.Get(id); row != nil {
+		return row
+	}
+	return w.servers.Put(id, serverRow{})
+}
+
+// next sends a request to a server, or refuses it when there is none.
+func (w *World) next(now time.Time, number uint64, row *requestRow) {
+	if !now.Before(row.request.deadline) {
+		w.giveUp(now, number, row, "deadline passed", 0)
+		return
+	}
+	choice, ok := w.choose(now, row)
+	if !ok {
+		w.giveUp(now, number, row, "no backend server", refusedRetry)
+		return
+	}
+	backend := choice.backend
+	server := w.server(backend.ID())
+	server.inFlight++
+	w.changed = true
+	row.backend, row.sentAt = backend.ID(), now
+	event.RequestSent.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "attempt", len(row.tried)+1,
+		"in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates)
+	row.decide(Decision{action: ActionSend, number: number, backend: backend})
+}
+
+// refusedRetry is told to callers whose request found no server.
+const refusedRetry = 300 * time.Millisecond
+
+// giveUp ends a request without an answer of a server.
+func (w *World) giveUp(now time.Time, number uint64, row *requestRow, reason string, retry time.Duration) {
+	d := Decision{action: ActionRefuse, number: number, retry: retry, reason: reason}
+	if row.runs > 0 {
+		d.action = ActionFail
+	}
+	event.RequestServed.Log(w.logger, "request", row.request.id, "outcome", reason, "runs", row.runs,
+		"attempts", len(row.tried), "ms", now.Sub(row.request.arrived).Milliseconds())
+	decide := row.decide
+	w.requests.Remove(number)
+	decide(d)
+}
+
+// note keeps what a server says of its load.
+func (w *World) note(now time.Time, number uint64, load Load) {
+	row := w.requests.Get(number)
+	if row == nil || !load.Known() {
+		return
+	}
+	server := w.server(row.backend)
+	server.load, server.loadAt, server.failures = load, now, 0
+}
--- a/core/ledger/replica.go
+++ b/core/ledger/replica.go
@@ -27,7 +27,9 @@
 type replicaRow struct {
 	id         ID
 	self       ReplicaID
-	configured []string
+	configured []string // founders, by instance
+	contacts   []string // other instances to ask for the ledger
+	joins      bool     // never founds the ledger itself
 	prefer     string
 
 	role           Role
@@ -48,6 +50,8 @@
 	transferDue time.Time
 
 	round      uint64
+	confirmed  uint64 // newest round that a quorum answered
+	asked      bool   // a round must be opened in this tick
 	rounds     []roundRow
 	leaseUntil time.Time
 	termStart  uint64
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -59,6 +59,46 @@
 		row.applied >= row.termStart
 }
 
+// Balanced reports whether this leader's newest member list is committed and
+// holds the target number of voters, all of them answering.
+func (w *World) Balanced(now time.Time, ledger ID) bool {
+	row := w.replicas.Get(ledger)
+	if row == nil || row.role != RoleLeader {
+		return false
+	}
+	members, index := row.log.members()
+	voters := 0
+	for _, m := range members {
+		if m.voter && !w.sound(now, row, m) {
+			return false
+		}
+		if m.voter {
+			voters++
+		}
+	}
+	return index <= row.commit && voters >= w.target
+}
+
+// Answering returns the instances whose replicas answer this leader, itself
+// included.
+func (w *World) Answering(now time.Time, ledger ID) []string {
+	row := w.replicas.Get(ledger)
+	if row == nil || row.role != RoleLeader {
+		return nil
+	}
+	var instances []string
+	members, _ := row.log.members()
+	for _, m := range members {
+		if w.sound(now, row, m) {
+			instances = append(instances, m.instance)
+		}
+	}
+	return instances
+}
+
+// Target returns the number of voters to keep.
+func (w *World) Target() int { return w.target }
+
 // Hosts reports whether the ledger has a replica here.
 func (w *World) Hosts(ledger ID) bool { return w.replicas.Get(ledger) != nil }
 
--- a/core/ledger/system_form.go
+++ b/core/ledger/system_form.go
@@ -18,10 +18,7 @@
 		return
 	}
 	joined := false
-	for _, instance := range row.configured {
-		if instance == w.instance {
-			continue
-		}
+	for _, instance := range w.acquaintances(row) {
 		w.send(NewMessage(MessageHello, row.id, row.self, "", 0, WithRoute(w.instance, instance)))
 		joined = joined || row.hellos[instance].formed
 	}
@@ -29,11 +26,53 @@
 		w.join(row)
 		return
 	}
-	if slices.Min(row.configured) == w.instance && w.allFresh(now, row) {
+	if !row.joins && slices.Min(row.configured) == w.instance && w.allFresh(now, row) {
 		w.found(now, row)
 	}
 }
 
+// acquaintances returns the other instances that may hold the ledger: the
+// configured ones, the contacts and the members.
+func (w *World) acquaintances(row *replicaRow) []string {
+	var others []string
+	add := func(instance string) {
+		if instance != w.instance && !slices.Contains(others, instance) {
+			others = append(others, instance)
+		}
+	}
+	for _, instance := range row.configured {
+		add(instance)
+	}
+	for _, instance := range row.contacts {
+		add(instance)
+	}
+	members, _ := row.log.members()
+	for _, m := range members {
+		add(m.instance)
+	}
+	return others
+}
+
+// Form founds a ledger whose first members were agreed on elsewhere. Each of
+// them calls it with the same list; it does nothing on any other replica.
+func (w *World) Form(now time.Time, ledger ID, members []Member) {
+	row := w.replicas.Get(ledger)
+	if row == nil || row.formed() {
+		return
+	}
+	if !slices.ContainsFunc(members, func(m Member) bool { return m.replica == row.self }) {
+		return
+	}
+	base := NewSnapshot(1, 1, members, nil)
+	row.term = max(row.term, 1)
+	w.saveVote(row)
+	row.log.compact(base)
+	row.commit, row.restored = base.index, false
+	row.role = RoleFollower
+	row.electionDue = now.Add(w.electionTimeout())
+	w.save(row, NewSnapshotRecord(row.id, row.self, base))
+}
+
 // rejoin asks to be taken in while no leader is heard or the newest member list
 // lacks this replica: a change that added it may have been lost with its
 // leader, here or there. A leader ignores members that ask.
@@ -77,12 +116,10 @@
 	w.lead(now, row)
 }
 
-// join asks every configured instance to take this replica in; the leader acts.
+// join asks every known instance to take this replica in; the leader acts.
 func (w *World) join(row *replicaRow) {
-	for _, instance := range row.configured {
-		if instance != w.instance {
-			w.send(NewMessage(MessageJoin, row.id, row.self, "", 0, WithRoute(w.instance, instance)))
-		}
+	for _, instance := range w.acquaintances(row) {
+		w.send(NewMessage(MessageJoin, row.id, row.self, "", 0, WithRoute(w.instance, instance)))
 	}
 }
 
@@ -101,7 +138,7 @@
 // at a time; the joining replica asks again.
 func (w *World) receiveJoin(now time.Time, row *replicaRow, m Message) {
 	members, index := row.log.members()
-	if row.role != RoleLeader || index > row.commit || row.commit < row.termStart {
+	if row.role != RoleLeader || index > row.commit || row.commit < row.termStart || w.retiring(m.source) {
 		return
 	}
 	if _, ok := row.member(m.from); ok {
--- a/core/ledger/system_repair.go
+++ b/core/ledger/system_repair.go
@@ -10,23 +10,37 @@
 	if row.role != RoleLeader || index > row.commit || row.commit < row.termStart {
 		return
 	}
+	if w.target > 0 {
+		w.balance(now, row, members)
+		return
+	}
 	for i, m := range members {
 		if w.caughtUp(now, row, m) {
-			next := append([]Member(nil), members...)
-			next[i].voter = true
-			w.setMembers(now, row, next)
+			w.setMembers(now, row, withVoter(members, i, true))
 			return
 		}
 	}
 	for i, m := range members {
 		if w.replaced(now, row, members, m) {
-			next := append([]Member(nil), members[:i]...)
-			w.setMembers(now, row, append(next, members[i+1:]...))
+			w.setMembers(now, row, without(members, i))
 			return
 		}
 	}
 }
 
+// withVoter returns the list with one member's vote changed.
+func withVoter(members []Member, i int, voter bool) []Member {
+	next := append([]Member(nil), members...)
+	next[i].voter = voter
+	return next
+}
+
+// without returns the list without one member.
+func without(members []Member, i int) []Member {
+	next := append([]Member(nil), members[:i]...)
+	return append(next, members[i+1:]...)
+}
+
 // caughtUp reports whether a learner can become a voter.
 func (w *World) caughtUp(now time.Time, row *replicaRow, m Member) bool {
 	p := w.progress.Get(progressKey{row.id, m.replica})
--- a/core/ledger/system_replicate.go
+++ b/core/ledger/system_replicate.go
@@ -10,13 +10,15 @@
 	if row.role != RoleLeader {
 		return
 	}
-	if w.beat {
+	beat := w.beat || row.asked
+	if beat {
 		w.openRound(now, row)
+		row.asked = false
 	}
 	members, _ := row.log.members()
 	for _, m := range members {
 		if p := w.progress.Get(progressKey{row.id, m.replica}); p != nil {
-			w.feed(now, row, m, p)
+			w.feed(now, row, m, p, beat)
 		}
 	}
 }
@@ -33,9 +35,9 @@
 
 // feed sends one member the entries that it lacks, or a heartbeat when one is
 // due. A member that trails behind the snapshot gets that first.
-func (w *World) feed(now time.Time, row *replicaRow, m Member, p *progressRow) {
+func (w *World) feed(now time.Time, row *replicaRow, m Member, p *progressRow, beat bool) {
 	if p.next <= row.log.snapshot.index {
-		w.feedSnapshot(now, row, m, p)
+		w.feedSnapshot(now, row, m, p, beat)
 		return
 	}
 	sent := false
@@ -49,7 +51,7 @@
 		sent = true
 	}
 	// A follower must not wait for the next heartbeat to learn of a commit.
-	if !sent && (w.beat || p.told < row.commit) {
+	if !sent && (beat || p.told < row.commit) {
 		w.sendAppend(row, m, p.next-1, nil)
 	}
 	p.told = row.commit
@@ -57,13 +59,13 @@
 
 // feedSnapshot sends the snapshot, again only after snapshotRetry, and
 // heartbeats meanwhile.
-func (w *World) feedSnapshot(now time.Time, row *replicaRow, m Member, p *progressRow) {
+func (w *World) feedSnapshot(now time.Time, row *replicaRow, m Member, p *progressRow, beat bool) {
 	if !now.Before(p.snapshotDue) {
 		p.snapshotDue = now.Add(snapshotRetry)
 		w.send(NewMessage(MessageSnapshot, row.id, row.self, m.replica, row.term,
 			WithRoute(w.instance, m.instance), WithRound(row.round), WithSnapshot(row.log.snapshot)))
 	}
-	if w.beat {
+	if beat {
 		w.sendAppend(row, m, row.log.snapshot.index, nil)
 	}
 }
@@ -187,6 +189,7 @@
 		})
 		if confirmed {
 			row.leaseUntil = r.sent.Add(w.lease)
+			row.confirmed = r.round
 			row.rounds = row.rounds[i+1:]
 			return
 		}
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -27,6 +27,8 @@
 	transferRetry   = 5 * time.Second
 	stepDownLeases  = 2 // leader gives up after this many election timeouts without a quorum
 	maxRoundHistory = 64
+	lostAfter       = 1500 * time.Millisecond // silence after which a voter is replaced
+	forgetAfter     = 20 * time.Second        // silence after which a learner is dropped
 )
 
 // Errors of Propose.
@@ -48,6 +50,10 @@
 	replicas *table.Table[ID, replicaRow]
 	progress *table.Table[progressKey, progressRow]
 
+	target   int // voters to keep; 0 makes every learner a voter
+	place    func(instance string) string
+	retiring func(instance string) bool
+
 	passive   bool // never stands for election
 	beatDue   time.Time
 	beat      bool   // a heartbeat is due in this tick
@@ -106,6 +112,13 @@
 	}
 }
 
+// WithVoters keeps target voters in each ledger. Further replicas stay learners
+// until a voter is lost. place names the data centre of an instance, so that
+// voters are spread; retiring marks instances whose replicas must be moved off.
+func WithVoters(target int, place func(instance string) string, retiring func(instance string) bool) Option {
+	return func(w *World) { w.target, w.place, w.retiring = target, place, retiring }
+}
+
 // New returns a world without replicas for the named instance.
 func New(instance string, options ...Option) *World {
 	w := &World{
@@ -115,6 +128,8 @@
 		electionMin: DefaultElectionFloor,
 		electionMax: DefaultElectionCeiling,
 		lease:       DefaultLease,
+		place:       func(string) string { return "" },
+		retiring:    func(string) bool { return false },
 		replicas:    table.New[ID, replicaRow](),
 		progress:    table.New[progressKey, progressRow](),
 	}
@@ -141,6 +156,16 @@
 	return func(r *replicaRow) { r.prefer = instance }
 }
 
+// WithJoinOnly makes a replica join an existing ledger and never found one.
+func WithJoinOnly() HostOption { return func(r *replicaRow) { r.joins = true } }
+
+// SetContacts names further instances to ask for a ledger.
+func (w *World) SetContacts(ledger ID, instances []string) {
+	if row := w.replicas.Get(ledger); row != nil {
+		row.contacts = instances
+	}
+}
+
 // Host adds a replica. configured lists the instances that form a new ledger.
 func (w *World) Host(now time.Time, ledger ID, self ReplicaID, configured []string, options ...HostOption) {
 	row := replicaRow{id: ledger, self: self, configured: configured, hellos: make(map[string]helloRow)}
--- a/core/member/backend.go
+++ b/core/member/backend.go
@@ -120,9 +120,16 @@
 // Runs reports whether the server can run a service.
 func (b Backend) Runs(service string) bool { return slices.Contains(b.services, service) }
 
-// merge returns the newer of two views of the same server. Leaving is final
+// WithoutWork returns the view of a server that takes no new work in this
+// incarnation.
+func (b Backend) WithoutWork() Backend {
+	b.leaving = true
+	return b
+}
+
+// Merge returns the newer of two views of the same server. Leaving is final
 // within an incarnation, whichever view arrives last.
-func (b Backend) merge(other Backend) Backend {
+func (b Backend) Merge(other Backend) Backend {
 	if b.incarnation != other.incarnation {
 		if other.incarnation > b.incarnation {
 			return other
@@ -140,8 +147,8 @@
 	return result
 }
 
-// changed reports whether the views differ in more than the load report.
-func (b Backend) changed(other Backend) bool {
+// Changed reports whether the views differ in more than the load report.
+func (b Backend) Changed(other Backend) bool {
 	return b.incarnation != other.incarnation || b.leaving != other.leaving || b.gone != other.gone ||
 		b.slots != other.slots || b.address != other.address ||
 		!slices.Equal(b.services, other.services) || !slices.Equal(b.models, other.models)
--- a/core/member/system_backend.go
+++ b/core/member/system_backend.go
@@ -65,9 +65,9 @@
 		w.version++
 		return
 	}
-	merged := row.backend.merge(b)
+	merged := row.backend.Merge(b)
 	newer := merged.sequence > row.backend.sequence || merged.incarnation > row.backend.incarnation
-	changed := merged.changed(row.backend)
+	changed := merged.Changed(row.backend)
 	row.backend = merged
 	if newer {
 		row.heard = now
--- /dev/null
+++ b/core/runner/attempt.go
@@ -0,0 +1,119 @@
+// Package runner runs the items of batch jobs in the slots that online
+// requests leave free. It gives slots back at once and resumes items elsewhere.
+package runner
+
+import (
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/member"
+)
+
+// Attempt is one run of an item on a backend server.
+type Attempt struct {
+	number  uint64
+	job     string
+	host    string
+	item    batch.Item
+	backend member.Backend
+	last    uint64
+}
+
+// Number identifies the attempt on this instance.
+func (a Attempt) Number() uint64 { return a.number }
+
+// Job returns the job's id.
+func (a Attempt) Job() string { return a.job }
+
+// Host returns the host of the request.
+func (a Attempt) Host() string { return a.host }
+
+// Item returns the item.
+func (a Attempt) Item() batch.Item { return a.item }
+
+// Backend returns the server to run it on.
+func (a Attempt) Backend() member.Backend { return a.backend }
+
+// Last returns the id of the last event that is known, 0 for none.
+func (a Attempt) Last() uint64 { return a.last }
+
+// End tells how an attempt ended.
+type End uint8
+
+// Ends of attempts.
+const (
+	EndDone       End = iota + 1 // the whole output is there
+	EndNotRun                    // the server did not run it
+	EndFailed                    // the server ran it and failed
+	EndImpossible                // the server says that it can never be done
+	EndBroken                    // the answer broke off
+	EndStopped                   // stopped from this side
+)
+
+// String returns the end's name for logs.
+func (e End) String() string {
+	names := [...]string{"unknown", "done", "not run", "failed", "impossible", "broken", "stopped"}
+	if int(e) >= len(names) {
+		return names[0]
+	}
+	return names[e]
+}
+
+// Outcome is the end of an attempt with the output that it brought.
+type Outcome struct {
+	number uint64
+	end    End
+	text   []byte
+	last   uint64
+	load   int
+}
+
+// NewOutcome returns an outcome; text holds the events after the attempt's
+// last one, last the id of the newest.
+func NewOutcome(number uint64, end End, text []byte, last uint64) Outcome {
+	return Outcome{number: number, end: end, text: text, last: last}
+}
+
+// Number identifies the attempt.
+func (o Outcome) Number() uint64 { return o.number }
+
+// End tells how it ended.
+func (o Outcome) End() End { return o.end }
+
+// itemKey finds an item.
+type itemKey struct {
+	job  string
+	item int
+}
+
+// jobRow is a job with items to start.
+type jobRow struct {
+	due      time.Time
+	expiry   time.Time
+	attempts int
+	next     int   // first item that was never started
+	again    []int // items to start again, before others
+	missing  time.Time
+}
+
+// progressRow is what earlier attempts of an item led to.
+type progressRow struct {
+	text     []byte
+	last     uint64
+	failures int
+	notUntil time.Time
+}
+
+// runningRow is an attempt under way.
+type runningRow struct {
+	key      itemKey
+	backend  string
+	started  time.Time
+	stopping bool
+}
+
+// pauseRow keeps items away from a server.
+type pauseRow struct {
+	until time.Time
+	count int
+}
--- /dev/null
+++ b/core/runner/system_fill.go
@@ -0,0 +1,207 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/directory"
+	"papayaquay/core/event"
+)
+
+// yield stops items on servers that have more work than slots; the newest
+// attempt has the least to lose.
+func (w *World) yield(now time.Time) {
+	for _, s := range w.servers {
+		id := s.Backend().ID()
+		excess := w.online(id) + w.counts[id] - s.Backend().Slots()
+		for ; excess > 0; excess-- {
+			if !w.stopNewest(now, id) {
+				break
+			}
+		}
+	}
+}
+
+// stopNewest stops the newest attempt on a server that is not stopping yet,
+// and reports whether an attempt counts as stopping for this excess.
+func (w *World) stopNewest(now time.Time, backend string) bool {
+	newest := uint64(0)
+	stopping := 0
+	w.running.Each(func(number uint64, row *runningRow) {
+		if row.backend != backend {
+			return
+		}
+		if row.stopping {
+			stopping++
+		} else if number > newest {
+			newest = number
+		}
+	})
+	if newest == 0 || stopping > 0 {
+		return false
+	}
+	row := w.running.Get(newest)
+	event.ItemYielded.Log(w.logger, "job", row.key.job, "item", row.key.item, "backend", backend,
+		"online", w.online(backend), "batch", w.counts[backend], "ran_ms", now.Sub(row.started).Milliseconds())
+	w.halt(newest, row)
+	return true
+}
+
+// expire gives up the items of jobs that may be given up.
+func (w *World) expire(now time.Time) {
+	if now.Before(w.expireAt) {
+		return
+	}
+	w.expireAt = now.Add(expireEvery)
+	for _, id := range slices.Clone(w.order) {
+		if row := w.jobs.Get(id); row != nil && !row.expiry.IsZero() && now.After(row.expiry) {
+			w.giveUp(id, "expired")
+		}
+	}
+}
+
+// giveUp marks all waiting items of a job as dead.
+func (w *World) giveUp(id, reason string) {
+	j, ok := w.state.Job(id)
+	if !ok {
+		return
+	}
+	event.JobGivenUp.Log(w.logger, "job", id, "reason", reason)
+	for i := range j.Order().Items() {
+		if j.Waits(i) {
+			w.finishes = append(w.finishes, batch.NewFinish(id, batch.NewResult(i, batch.VerdictDead, nil)))
+		}
+	}
+	w.Drop(id)
+}
+
+// fill starts items in free slots, jobs that are due first coming first. Jobs
+// that are late already come after those that can still be in time.
+func (w *World) fill(now time.Time) {
+	w.sort(now)
+	free := w.freeSlots(now)
+	for _, id := range slices.Clone(w.order) {
+		row := w.jobs.Get(id)
+		if row == nil {
+			continue
+		}
+		if len(free) == 0 {
+			w.waiting = true
+			return
+		}
+		w.fillJob(now, id, row, free)
+	}
+}
+
+// sort orders the jobs by due time, late ones last.
+func (w *World) sort(now time.Time) {
+	late := func(id string) bool { return now.After(w.jobs.Get(id).due) }
+	slices.SortStableFunc(w.order, func(a, b string) int {
+		if late(a) != late(b) {
+			if late(a) {
+				return 1
+			}
+			return -1
+		}
+		return w.jobs.Get(a).due.Compare(w.jobs.Get(b).due)
+	})
+}
+
+// freeSlots returns the servers with room for items.
+func (w *World) freeSlots(now time.Time) map[string]int {
+	free := make(map[string]int)
+	for _, s := range w.servers {
+		id := s.Backend().ID()
+		if p := w.pauses.Get(id); s.Silent() || (p != nil && now.Before(p.until)) {
+			continue
+		}
+		if n := s.Backend().Slots() - w.reserve - w.online(id) - w.counts[id]; n > 0 {
+			free[id] = n
+		}
+	}
+	return free
+}
+
+// fillJob starts items of one job as long as there are slots.
+func (w *World) fillJob(now time.Time, id string, row *jobRow, free map[string]int) {
+	j, ok := w.state.Job(id)
+	if !ok || w.config == nil {
+		return
+	}
+	items := j.Order().Items()
+	again := row.again
+	row.again = nil
+	for n, i := range again {
+		if p := w.progress.Get(itemKey{id, i}); p != nil && now.Before(p.notUntil) {
+			row.again = append(row.again, i)
+			w.waiting = true
+			continue
+		}
+		if !w.startItem(now, j, i, row, free) {
+			row.again = append(row.again, again[n:]...)
+			w.waiting = true
+			return
+		}
+	}
+	for row.next < len(items) {
+		if j.Waits(row.next) && !w.startItem(now, j, row.next, row, free) {
+			w.waiting = true
+			return
+		}
+		row.next++
+	}
+}
+
+// startItem starts an item on the server with the most free slots, and
+// reports false when there is none.
+func (w *World) startItem(now time.Time, j batch.Job, i int, row *jobRow, free map[string]int) bool {
+	o := j.Order()
+	item := o.Items()[i]
+	route, ok := w.config.Match(o.Host(), item.Path())
+	if !ok {
+		w.miss(now, o.ID(), row)
+		return false
+	}
+	row.missing = time.Time{}
+	server, ok := w.pick(route.Pick(w.random()), free)
+	if !ok {
+		return false
+	}
+	backend := server.Backend()
+	if free[backend.ID()]--; free[backend.ID()] <= 0 {
+		delete(free, backend.ID())
+	}
+	key := itemKey{o.ID(), i}
+	last := uint64(0)
+	if p := w.progress.Get(key); p != nil {
+		last = p.last
+	}
+	w.last++
+	w.running.Put(w.last, runningRow{key: key, backend: backend.ID(), started: now})
+	w.counts[backend.ID()]++
+	w.start(Attempt{number: w.last, job: o.ID(), host: o.Host(), item: item, backend: backend, last: last})
+	return true
+}
+
+// miss gives a job up when its route has been gone for long.
+func (w *World) miss(now time.Time, id string, row *jobRow) {
+	if row.missing.IsZero() {
+		row.missing = now
+	}
+	if now.Sub(row.missing) > routeGrace {
+		w.giveUp(id, "route removed")
+	}
+}
+
+// pick returns the server of a service with the most free slots.
+func (w *World) pick(service string, free map[string]int) (directory.Server, bool) {
+	var best directory.Server
+	most := 0
+	for _, s := range w.servers {
+		if n := free[s.Backend().ID()]; n > most && s.Backend().Runs(service) {
+			best, most = s, n
+		}
+	}
+	return best, most > 0
+}
--- /dev/null
+++ b/core/runner/system_take.go
@@ -0,0 +1,87 @@
+package runner
+
+import (
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/event"
+)
+
+// Take ends an attempt.
+func (w *World) Take(now time.Time, o Outcome) {
+	row := w.running.Get(o.number)
+	if row == nil {
+		return
+	}
+	key, backend := row.key, row.backend
+	w.running.Remove(o.number)
+	if w.counts[backend]--; w.counts[backend] <= 0 {
+		delete(w.counts, backend)
+	}
+	event.ItemEnded.Log(w.logger, "job", key.job, "item", key.item, "backend", backend, "end", o.end.String(),
+		"ran_ms", now.Sub(row.started).Milliseconds(), "last_event", o.last)
+	w.judge(now, backend, o.end)
+	if job := w.jobs.Get(key.job); w.leading && job != nil {
+		w.settle(now, key, job, o)
+	}
+}
+
+// judge keeps items away from a server that did not do its work.
+func (w *World) judge(now time.Time, backend string, end End) {
+	switch end {
+	case EndNotRun:
+		w.pauses.Put(backend, pauseRow{until: now.Add(notRunPause)})
+	case EndBroken:
+		count := 0
+		if p := w.pauses.Get(backend); p != nil {
+			count = p.count
+		}
+		pause := min(brokenPause<<min(count, 10), maxPause)
+		w.pauses.Put(backend, pauseRow{until: now.Add(pause), count: count + 1})
+	case EndDone:
+		w.pauses.Remove(backend)
+	}
+}
+
+// settle stores the item's result or lets it start again.
+func (w *World) settle(now time.Time, key itemKey, job *jobRow, o Outcome) {
+	p := w.progress.Get(key)
+	if p == nil {
+		p = w.progress.Put(key, progressRow{})
+	}
+	if o.last > p.last {
+		if p.last > 0 {
+			p.text = append(p.text, '\n')
+		}
+		p.text, p.last = append(p.text, o.text...), o.last
+	}
+	switch o.end {
+	case EndDone:
+		w.finish(key, batch.VerdictDone, p.text)
+		return
+	case EndImpossible:
+		w.finish(key, batch.VerdictDead, nil)
+		return
+	case EndFailed:
+		p.failures++
+		p.notUntil = now.Add(failurePause)
+		if p.failures >= job.attempts {
+			w.finish(key, batch.VerdictDead, nil)
+			return
+		}
+	}
+	job.again = append(job.again, key.item)
+}
+
+// finish hands out the result of an item.
+func (w *World) finish(key itemKey, verdict batch.Verdict, text []byte) {
+	w.progress.Remove(key)
+	w.finishes = append(w.finishes, batch.NewFinish(key.job, batch.NewResult(key.item, verdict, text)))
+}
+
+// Settled drops a job whose items all have results.
+func (w *World) Settled(j batch.Job) {
+	if !j.Open() {
+		w.Drop(j.Order().ID())
+	}
+}
--- /dev/null
+++ b/core/runner/world.go
@@ -0,0 +1,193 @@
+package runner
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/directory"
+	"papayaquay/core/event"
+	"papayaquay/core/routing"
+	"papayaquay/core/table"
+)
+
+// Limits and timing.
+const (
+	DefaultReserve = 1 // slots of each server that batch leaves free
+
+	notRunPause   = 150 * time.Millisecond // without items for a server that refused one
+	brokenPause   = 400 * time.Millisecond // doubled with each break in a row
+	maxPause      = 5 * time.Second
+	failurePause  = 200 * time.Millisecond // before an item that failed is tried again
+	routeGrace    = 5 * time.Second        // without a route before its items are given up
+	expireEvery   = time.Second
+	retryInterval = 100 * time.Millisecond // while items wait for a free slot
+)
+
+// World runs items while this instance leads the jobs ledger. It belongs to
+// the control thread.
+type World struct {
+	logger  *slog.Logger
+	reserve int
+	start   func(Attempt)
+	stop    func(number uint64)
+	random  func() float64
+
+	leading  bool
+	state    *batch.State
+	config   *routing.Config
+	servers  []directory.Server
+	online   func(backend string) int
+	jobs     *table.Table[string, jobRow]
+	progress *table.Table[itemKey, progressRow]
+	running  *table.Table[uint64, runningRow]
+	pauses   *table.Table[string, pauseRow]
+	counts   map[string]int // items running on each server
+	finishes []batch.Finish
+	last     uint64
+	order    []string // jobs by due time
+	sorted   bool
+	expireAt time.Time
+	waiting  bool // items wait for a slot or a pause
+}
+
+// Option changes a world at construction.
+type Option func(*World)
+
+// WithLogger sets the logger.
+func WithLogger(logger *slog.Logger) Option { return func(w *World) { w.logger = logger } }
+
+// WithAttempts sets the functions that start and stop attempts. Each started
+// attempt must be answered by Take.
+func WithAttempts(start func(Attempt), stop func(number uint64)) Option {
+	return func(w *World) { w.start, w.stop = start, stop }
+}
+
+// WithOnline sets the function that counts online requests on a server.
+func WithOnline(online func(backend string) int) Option {
+	return func(w *World) { w.online = online }
+}
+
+// WithRandom sets the source of draws in [0, 1).
+func WithRandom(random func() float64) Option { return func(w *World) { w.random = random } }
+
+// WithReserve sets how many slots of each server batch leaves free.
+func WithReserve(slots int) Option { return func(w *World) { w.reserve = slots } }
+
+// New returns a world that runs nothing until Lead is called.
+func New(options ...Option) *World {
+	w := &World{
+		logger: slog.New(slog.DiscardHandler), reserve: DefaultReserve,
+		start: func(Attempt) {}, stop: func(uint64) {},
+		random: func() float64 { return 0 }, online: func(string) int { return 0 },
+		jobs: table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
+		running: table.New[uint64, runningRow](), pauses: table.New[string, pauseRow](),
+		counts: make(map[string]int),
+	}
+	for _, option := range options {
+		option(w)
+	}
+	return w
+}
+
+// Lead starts or stops running items of a state.
+func (w *World) Lead(leading bool, state *batch.State) {
+	if leading == w.leading {
+		return
+	}
+	w.leading, w.state = leading, state
+	event.RunnerChanged.Log(w.logger, "running", leading)
+	w.jobs = table.New[string, jobRow]()
+	w.progress = table.New[itemKey, progressRow]()
+	w.order, w.sorted, w.finishes = nil, false, nil
+	if !leading {
+		w.running.Each(func(number uint64, row *runningRow) { w.halt(number, row) })
+		return
+	}
+	state.Each(func(j batch.Job) { w.Accept(j) })
+}
+
+// Accept takes a new job.
+func (w *World) Accept(j batch.Job) {
+	o := j.Order()
+	if !w.leading || !j.Open() || w.jobs.Get(o.ID()) != nil {
+		return
+	}
+	w.jobs.Put(o.ID(), jobRow{due: o.Due(), expiry: o.Expiry(), attempts: max(o.Attempts(), 1)})
+	w.order, w.sorted = append(w.order, o.ID()), false
+}
+
+// Drop stops the items of a job that ended.
+func (w *World) Drop(job string) {
+	if !w.leading {
+		return
+	}
+	w.jobs.Remove(job)
+	w.order = slices.DeleteFunc(w.order, func(id string) bool { return id == job })
+	w.running.Each(func(number uint64, row *runningRow) {
+		if row.key.job == job {
+			w.halt(number, row)
+		}
+	})
+	w.progress.Each(func(key itemKey, _ *progressRow) {
+		if key.job == job {
+			w.progress.Remove(key)
+		}
+	})
+}
+
+// halt stops an attempt once.
+func (w *World) halt(number uint64, row *runningRow) {
+	if !row.stopping {
+		row.stopping = true
+		w.stop(number)
+	}
+}
+
+// View takes the configuration and the backend servers.
+func (w *World) View(config *routing.Config, servers []directory.Server) {
+	w.config, w.servers = config, servers
+}
+
+// Batch returns the items that run on a server.
+func (w *World) Batch(backend string) int { return w.counts[backend] }
+
+// Running returns the number of items that run.
+func (w *World) Running() int { return w.running.Len() }
+
+// Each visits the servers on which items run.
+func (w *World) Each(visit func(backend string, batch int)) {
+	for backend, count := range w.counts {
+		visit(backend, count)
+	}
+}
+
+// Run runs the systems of one tick.
+func (w *World) Run(now time.Time) {
+	w.waiting = false
+	if !w.leading {
+		return
+	}
+	w.yield(now)
+	w.expire(now)
+	w.fill(now)
+}
+
+// Output takes the results to store.
+func (w *World) Output() []batch.Finish {
+	finishes := w.finishes
+	w.finishes = nil
+	return finishes
+}
+
+// Next returns the next deadline.
+func (w *World) Next(now time.Time) (time.Time, bool) {
+	if !w.leading || len(w.order) == 0 {
+		return time.Time{}, false
+	}
+	if w.waiting {
+		return now.Add(retryInterval), true
+	}
+	return w.expireAt, true
+}
--- /dev/null
+++ b/io/fleet/online.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+
+	"papayaquay/core/entry"
+	"papayaquay/io/forward"
+)
+
+// Passage is an online request on its way through this entry.
+type Passage struct {
+	request   entry.Request
+	forward   forward.Request
+	resumable bool
+}
+
+// NewPassage returns a request for the decisions and for the wire. The answer
+// of a resumable one may come from several servers.
+func NewPassage(request entry.Request, out forward.Request, resumable bool) Passage {
+	return Passage{request: request, forward: out, resumable: resumable}
+}
+
+// Final is how a passage ended without a whole answer of a server.
+type Final struct {
+	action  entry.Action
+	retry   entry.Decision
+	started bool
+	gone    bool
+}
+
+// Refused reports that the request has not run and never will.
+func (f Final) Refused() bool { return f.action == entry.ActionRefuse }
+
+// Started reports that a part of an answer went to the caller.
+func (f Final) Started() bool { return f.started }
+
+// Gone reports that the caller left or its time is over.
+func (f Final) Gone() bool { return f.gone }
+
+// Decision returns the decision that ended the passage.
+func (f Final) Decision() entry.Decision { return f.retry }
+
+// Pass serves an online request: it asks the traffic thread for each step and
+// copies the answer to the caller. ok is false when the front end must end the
+// request as Final says. The context ends when the caller must have an answer.
+func (p *Process) Pass(ctx context.Context, w http.ResponseWriter, passage Passage) (final Final, ok bool) {
+	decisions := make(chan entry.Decision, 1)
+	p.traffic.Post(entry.Submit(passage.request, func(d entry.Decision) { decisions <- d }))
+	relay := p.forward.NewRelay(passage.forward, w, passage.resumable)
+	for {
+		d := <-decisions
+		if d.Action() != entry.ActionSend {
+			return Final{action: d.Action(), retry: d, started: relay.Started()}, false
+		}
+		end, load := relay.Try(ctx, d.Backend(), func(l entry.Load) { p.traffic.Post(entry.Answering(d.Number(), l)) })
+		p.traffic.Post(entry.Ended(d.Number(), end, load))
+		switch end {
+		case entry.EndAnswered:
+			return Final{}, true
+		case entry.EndGone:
+			return Final{action: entry.ActionFail, started: relay.Started(), gone: true}, false
+		}
+	}
+}
--- /dev/null
+++ b/io/fleet/servers.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"papayaquay/core/cluster"
+	"papayaquay/io/peer"
+	"papayaquay/io/settings"
+	"papayaquay/io/socket"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of the HTTP servers. Callers may reuse a connection that was idle for
+// most of the configured limit, so the server waits longer than any of those.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 5 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// listen opens the listeners and serves on them.
+func (p *Process) listen(ctx context.Context) error {
+	s := p.settings
+	listener, err := p.open(ctx, s.PeerAddress())
+	if err != nil {
+		return err
+	}
+	server := peer.NewServer(s.PeerAddress(), peerKeys,
+		peer.DeliverCluster(s.PeerAddress(), func(packet cluster.Packet) { p.inbox.Post(cluster.FromPeer(packet)) }), p.logger)
+	p.spawn(func() { p.report(server.Serve(ctx, listener)) })
+
+	served := []struct {
+		address string
+		handler http.Handler
+	}{{s.MetricsAddress(), p.metricsHandler()}}
+	add := func(address string, handler http.Handler) {
+		served = append(served, struct {
+			address string
+			handler http.Handler
+		}{address, handler})
+	}
+	switch s.Role() {
+	case settings.RoleEntry:
+		add(s.CallerAddress(), p.front.callers(p))
+		add(s.ReadyAddress(), http.HandlerFunc(p.readiness))
+	case settings.RoleControl:
+		add(s.ControlAddress(), p.front.control(p))
+	}
+	for _, x := range served {
+		if err := p.serve(ctx, x.address, x.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// open listens on an address.
+func (p *Process) open(ctx context.Context, address string) (net.Listener, error) {
+	l, err := socket.ListenConfig(silenceTimeout).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	p.listeners = append(p.listeners, l)
+	return l, nil
+}
+
+// serve runs an HTTP server on an address.
+func (p *Process) serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	p.servers = append(p.servers, server)
+	p.spawn(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.report(errors.Wrapf(err, "serve on %s", address))
+		}
+	})
+	return nil
+}
+
+// report ends the process when a listener failed.
+func (p *Process) report(err error) {
+	if err == nil {
+		return
+	}
+	select {
+	case p.served <- err:
+	default: // an earlier failure is reported already
+	}
+}
+
+// readiness answers the balancer: 200 while the entry takes new connections.
+func (p *Process) readiness(w http.ResponseWriter, _ *http.Request) {
+	if p.leaving.Load() || p.snapshot.Load().Config() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// metricsHandler serves counters, histograms and profiles.
+func (p *Process) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", expvar.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
+}
--- /dev/null
+++ b/io/fleet/world.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"papayaquay/core/cluster"
+	"papayaquay/core/directory"
+	"papayaquay/core/ledger"
+	"papayaquay/core/runner"
+	"papayaquay/core/usage"
+	"papayaquay/io/boottime"
+	"papayaquay/io/disk"
+	"papayaquay/io/peer"
+	"papayaquay/io/record"
+	"papayaquay/io/settings"
+)
+
+// usageReport is what an entry runs by backend server.
+type usageReport = usage.Report
+
+// kindOf returns the kind of instance that a role is.
+func kindOf(role string) directory.Kind {
+	switch role {
+	case settings.RoleControl:
+		return directory.KindControl
+	case settings.RoleStore:
+		return directory.KindStore
+	}
+	return directory.KindEntry
+}
+
+// buildWorld creates the control world.
+func (p *Process) buildWorld() {
+	s := p.settings
+	now := boottime.Now()
+	self := directory.NewNode(s.PeerAddress(), s.Name(), s.DataCentre(), kindOf(s.Role()), uint64(p.start.UnixMicro()))
+	options := []cluster.Option{
+		cluster.WithLogger(p.logger), cluster.WithSeeds(s.Seeds()), cluster.WithWall(time.Now),
+		cluster.WithPersist(func(sequence uint64, records []ledger.Record) { p.store.Append(sequence, records) }),
+		cluster.WithSend(p.send), cluster.WithPublish(p.publish),
+		cluster.WithBackground(func(work func()) { go work() }, p.inbox.Post),
+	}
+	if s.Role() != settings.RoleEntry {
+		options = append(options, cluster.WithLedgers(p.hostLedger(now)))
+	}
+	if s.Role() == settings.RoleStore {
+		options = append(options, cluster.WithRunner(runner.New(runner.WithLogger(p.logger),
+			runner.WithRandom(rand.Float64), runner.WithAttempts(p.startItem, p.items.stop),
+			runner.WithOnline(func(backend string) int { return p.world.Online(backend) }))))
+	}
+	p.world = cluster.New(now, self, record.NewClusterCodec(), p.front.decode, options...)
+}
+
+// send passes a packet to another instance.
+func (p *Process) send(packet cluster.Packet) {
+	p.client.Send(context.Background(), packet.To(), func() ([]byte, error) { return peer.EncodeCluster(packet) })
+}
+
+// publish stores a snapshot.
+func (p *Process) publish(s *cluster.Snapshot) { p.snapshot.Store(s) }
+
+// hostLedger creates the ledger world with the replica of this instance.
+func (p *Process) hostLedger(now time.Time) *ledger.World {
+	s := p.settings
+	id := cluster.ControlLedger
+	if s.Role() == settings.RoleStore {
+		id = cluster.JobsLedger
+	}
+	world := ledger.New(s.PeerAddress(), ledger.WithSeed(uint64(p.start.UnixNano())),
+		ledger.WithVoters(s.Voters(),
+			func(instance string) string { return p.world.Place(instance) },
+			func(instance string) bool { return p.world.Retiring(instance) }))
+	replica := ledger.ReplicaID(s.PeerAddress() + "#" + p.store.Nonce())
+	var options []ledger.HostOption
+	var stored []disk.Stored
+	for _, row := range p.store.Take() {
+		if row.Ledger() == id {
+			stored = append(stored, row)
+		}
+	}
+	for _, row := range stored {
+		replica = row.Replica()
+		options = append(options, ledger.WithStored(row.Term(), row.Vote(), row.Snapshot(), row.Entries()))
+	}
+	var founders []string
+	if s.Founds() && len(stored) == 0 {
+		founders = s.Seeds()
+	} else {
+		options = append(options, ledger.WithJoinOnly())
+	}
+	world.Host(now, id, replica, founders, options...)
+	return world
+}
--- /dev/null
+++ b/io/forward/collect.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"papayaquay/core/member"
+	"papayaquay/core/runner"
+)
+
+// Collect runs a request on one server and collects the data of its events
+// after the one with the id last, separated by line feeds. It returns how that
+// ended, the text and the id of the newest event.
+func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, last uint64) (runner.End, []byte, uint64) {
+	a, sent := c.send(ctx, r, b, last)
+	switch {
+	case a == nil && ctx.Err() != nil:
+		return runner.EndStopped, nil, last
+	case a == nil && sent:
+		return runner.EndBroken, nil, last
+	case a == nil:
+		return runner.EndNotRun, nil, last
+	}
+	defer a.response.Body.Close()
+	switch {
+	case a.head.notRun:
+		drain(a.response.Body)
+		return runner.EndNotRun, nil, last
+	case !a.head.mine:
+		return runner.EndBroken, nil, last
+	case a.response.StatusCode == http.StatusUnprocessableEntity:
+		drain(a.response.Body)
+		return runner.EndImpossible, nil, last
+	case a.response.StatusCode != http.StatusOK:
+		drain(a.response.Body)
+		return runner.EndFailed, nil, last
+	}
+	text, newest, err := collectEvents(a.response.Body, last)
+	switch {
+	case err == io.EOF:
+		return runner.EndDone, text, newest
+	case ctx.Err() != nil:
+		return runner.EndStopped, text, newest
+	}
+	return runner.EndBroken, text, newest
+}
+
+// collectEvents reads events until the body ends; the error is io.EOF when it
+// ended well.
+func collectEvents(body io.Reader, last uint64) ([]byte, uint64, error) {
+	events := scanner{last: last}
+	var text []byte
+	first := true
+	buffer := buffers.Get().(*[copyBytes]byte)
+	defer buffers.Put(buffer)
+	for {
+		n, err := body.Read(buffer[:])
+		events.each(events.feed(buffer[:n]), func(_ uint64, data []byte) {
+			if !first {
+				text = append(text, '\n')
+			}
+			text, first = append(text, data...), false
+		})
+		if err != nil {
+			if err == io.EOF && len(events.pending) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return text, events.last, err
+		}
+	}
+}
--- /dev/null
+++ b/io/forward/events.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// scanner finds the events of a text/event-stream body as bytes arrive.
+// Source: HTML Living Standard, "Server-sent events".
+type scanner struct {
+	pending []byte // bytes after the last complete event
+	last    uint64 // id of the last complete event that had one
+}
+
+// feed adds bytes and returns those that end with a complete event.
+func (s *scanner) feed(data []byte) []byte {
+	s.pending = append(s.pending, data...)
+	end := lastEventEnd(s.pending)
+	if end == 0 {
+		return nil
+	}
+	complete := s.pending[:end:end]
+	s.pending = append([]byte(nil), s.pending[end:]...)
+	return complete
+}
+
+// lastEventEnd returns the length up to the last blank line.
+func lastEventEnd(data []byte) int {
+	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
+		return i + 2
+	}
+	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
+		return i + 4
+	}
+	return 0
+}
+
+// each visits the events of complete bytes.
+func (s *scanner) each(complete []byte, visit func(id uint64, data []byte)) {
+	var id uint64
+	var data []byte
+	lines := 0
+	for len(complete) > 0 {
+		line, rest, _ := bytes.Cut(complete, []byte("\n"))
+		complete = rest
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			if lines > 0 || id > 0 {
+				s.last = max(s.last, id)
+				visit(id, data)
+			}
+			id, data, lines = 0, nil, 0
+			continue
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			id, _ = strconv.ParseUint(string(value), 10, 64)
+		case "data":
+			if lines > 0 {
+				data = append(data, '\n')
+			}
+			data = append(data, value...)
+			lines++
+		}
+	}
+}
--- /dev/null
+++ b/io/forward/forward.go
@@ -0,0 +1,149 @@
+// Package forward sends requests to backend servers over HTTP/1.1 as they are
+// and copies the answers: to callers, or collected for batch items. Answers are
+// matched by the request's id, never by their connection.
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"papayaquay/core/entry"
+	"papayaquay/core/member"
+	"papayaquay/io/socket"
+)
+
+// Limits of connections to backend servers.
+const (
+	dialTimeout    = 400 * time.Millisecond
+	silenceTimeout = 1500 * time.Millisecond // bytes that a server does not confirm
+	idleTimeout    = 20 * time.Second
+	maxIdlePerHost = 64
+	headBytes      = 64 << 10
+)
+
+// Head is what the head of an answer says.
+type Head struct {
+	mine   bool // it answers this request and carries the server's proof
+	notRun bool
+	load   entry.Load
+}
+
+// NewHead returns a decoded head: whether it belongs to the request, whether
+// the server did not run it, and the server's load.
+func NewHead(mine, notRun bool, load entry.Load) Head {
+	return Head{mine: mine, notRun: notRun, load: load}
+}
+
+// Marks are what the system adds to a request.
+type Marks struct {
+	backend string
+	left    time.Duration
+	last    uint64
+}
+
+// Backend returns the id of the server that alone may run the request.
+func (m Marks) Backend() string { return m.backend }
+
+// Left returns the time until the caller's deadline, 0 for none.
+func (m Marks) Left() time.Duration { return m.left }
+
+// Last returns the id of the event to resume after, 0 for none.
+func (m Marks) Last() uint64 { return m.last }
+
+// Dialect translates what stands in headers.
+type Dialect struct {
+	mark func(h http.Header, m Marks)
+	read func(id string, status int, h http.Header) Head
+}
+
+// NewDialect returns the translation of requests and answers.
+func NewDialect(mark func(h http.Header, m Marks), read func(id string, status int, h http.Header) Head) Dialect {
+	return Dialect{mark: mark, read: read}
+}
+
+// Request is a request as it is sent to a backend server.
+type Request struct {
+	id       string
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	deadline time.Time
+}
+
+// NewRequest returns a request; target is its path with the query, header what
+// is passed on, deadline when the caller stops waiting, zero for never.
+func NewRequest(id, method, target, host string, header http.Header, body []byte, deadline time.Time) Request {
+	return Request{id: id, method: method, target: target, host: host, header: header, body: body, deadline: deadline}
+}
+
+// Client sends requests.
+type Client struct {
+	dialect   Dialect
+	transport *http.Transport
+	now       func() time.Time
+}
+
+// Option changes a client at construction.
+type Option func(*Client)
+
+// WithDial sets the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.transport.DialContext = dial }
+}
+
+// New returns a client that speaks a dialect.
+func New(dialect Dialect, options ...Option) *Client {
+	c := &Client{dialect: dialect, now: time.Now, transport: &http.Transport{
+		DialContext:            socket.Dialer(dialTimeout, silenceTimeout).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: headBytes,
+	}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// answer is the answer of a backend server whose body is still to be read.
+type answer struct {
+	response *http.Response
+	head     Head
+}
+
+// send sends a request to a backend server and reads the head of its answer.
+// Without an answer, sent tells whether the server may have got the request.
+func (c *Client) send(ctx context.Context, r Request, b member.Backend, last uint64) (a *answer, sent bool) {
+	target, err := url.ParseRequestURI(r.target)
+	if err != nil {
+		return nil, false
+	}
+	out := &http.Request{
+		Method: r.method, Host: r.host, Header: r.header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:           &url.URL{Scheme: "http", Host: b.Address(), Opaque: target.Opaque, Path: target.Path, RawPath: target.RawPath, RawQuery: target.RawQuery},
+		ContentLength: int64(len(r.body)),
+	}
+	// A body without GetBody keeps the transport from sending the request a
+	// second time on its own.
+	out.Body = io.NopCloser(bytes.NewReader(r.body))
+	marks := Marks{backend: b.ID(), last: last}
+	if !r.deadline.IsZero() {
+		marks.left = r.deadline.Sub(c.now())
+	}
+	c.dialect.mark(out.Header, marks)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
+	response, err := c.transport.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		return nil, sent
+	}
+	return &answer{response: response, head: c.dialect.read(r.id, response.StatusCode, response.Header)}, true
+}
--- /dev/null
+++ b/io/forward/relay.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"papayaquay/core/entry"
+	"papayaquay/core/member"
+)
+
+// copyBytes is the size of buffers for bodies.
+const copyBytes = 8 << 10
+
+// buffers are reused between answers.
+var buffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// EndToEnd returns a copy of headers without those of one connection.
+func EndToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// Relay copies the answers to one request to its caller. A resumable answer
+// may come from several servers, each going on after the last whole event.
+type Relay struct {
+	client    *Client
+	request   Request
+	out       http.ResponseWriter
+	flush     func() error
+	resumable bool
+	events    scanner
+	started   bool // the head went to the caller
+}
+
+// NewRelay returns a relay to a caller.
+func (c *Client) NewRelay(r Request, out http.ResponseWriter, resumable bool) *Relay {
+	return &Relay{client: c, request: r, out: out, resumable: resumable,
+		flush: http.NewResponseController(out).Flush}
+}
+
+// Started reports whether a part of an answer went to the caller.
+func (r *Relay) Started() bool { return r.started }
+
+// Try sends the request to one server and copies its answer. heard is called
+// when the head arrived.
+func (r *Relay) Try(ctx context.Context, b member.Backend, heard func(entry.Load)) (entry.End, entry.Load) {
+	a, sent := r.client.send(ctx, r.request, b, r.events.last)
+	switch {
+	case a == nil && ctx.Err() != nil:
+		return entry.EndGone, entry.Load{}
+	case a == nil && !sent:
+		return entry.EndUnreachable, entry.Load{}
+	case a == nil:
+		return entry.EndLost, entry.Load{}
+	}
+	defer a.response.Body.Close()
+	load := a.head.load
+	switch {
+	case a.head.notRun:
+		drain(a.response.Body)
+		return entry.EndNotRun, load
+	case !a.head.mine || (r.started && a.response.StatusCode != http.StatusOK):
+		return entry.EndLost, load
+	}
+	heard(load)
+	return r.copy(ctx, a), load
+}
+
+// drain reads a short body so that its connection can be used again.
+func drain(body io.Reader) {
+	_, _ = io.CopyN(io.Discard, body, copyBytes) // an error only costs the connection
+}
+
+// begin passes the head on, once.
+func (r *Relay) begin(a *answer) {
+	if r.started {
+		return
+	}
+	r.started = true
+	header := r.out.Header()
+	for name, values := range EndToEnd(a.response.Header) {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // keeps the library from guessing one
+	}
+	r.out.WriteHeader(a.response.StatusCode)
+}
+
+// copy passes the body on as it arrives. Of a resumable stream only whole
+// events are passed, so that another server can go on.
+func (r *Relay) copy(ctx context.Context, a *answer) entry.End {
+	r.begin(a)
+	resumable := r.resumable && a.response.StatusCode == http.StatusOK
+	r.events.pending = nil
+	buffer := buffers.Get().(*[copyBytes]byte)
+	defer buffers.Put(buffer)
+	for {
+		n, err := a.response.Body.Read(buffer[:])
+		chunk := buffer[:n]
+		if resumable {
+			chunk = r.events.feed(chunk)
+			r.events.each(chunk, func(uint64, []byte) {})
+		}
+		if len(chunk) > 0 {
+			if _, failed := r.out.Write(chunk); failed != nil {
+				return entry.EndGone
+			}
+			if r.flush() != nil {
+				return entry.EndGone
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return r.finish(resumable)
+		case err != nil && ctx.Err() != nil:
+			return entry.EndGone
+		case err != nil:
+			return entry.EndBroken
+		}
+	}
+}
+
+// finish passes on what follows the last whole event of a complete answer.
+func (r *Relay) finish(resumable bool) entry.End {
+	if !resumable || len(r.events.pending) == 0 {
+		return entry.EndAnswered
+	}
+	if _, err := r.out.Write(r.events.pending); err != nil {
+		return entry.EndGone
+	}
+	return entry.EndAnswered
+}
--- a/io/instance/instance.go
+++ b/io/instance/instance.go
@@ -187,7 +187,9 @@
 	i.control = control.New(now, i.owner, record.NewCodec(), members, i.hostLedgers(now),
 		control.WithLogger(i.logger), control.WithPlacements(s.Placements()...),
 		control.WithCompactAfter(s.CompactAfter()), control.WithLease(s.ItemLease()),
-		control.WithPersist(i.persist), control.WithSend(func(p control.Packet) { i.client.Send(context.Background(), p) }),
+		control.WithPersist(i.persist), control.WithSend(func(p control.Packet) {
+			i.client.Send(context.Background(), p.Address(), func() ([]byte, error) { return peer.Encode(p) })
+		}),
 		control.WithPublish(i.publish), control.WithPost(i.controlInbox.Post),
 		control.WithBackground(func(work func()) { go work() }),
 		control.WithItems(i.startItem, i.stopItem))
@@ -286,7 +288,7 @@
 		i.spawn(func() { tick.New(t.inbox, t.world.Step, t.world.Next).Run(ctx) })
 	}
 	server := peer.NewServer(i.settings.Name(), func() []string { return i.secrets.Load().PeerKeys() },
-		func(p control.Packet) { i.controlInbox.Post(control.FromPeer(p)) }, i.logger)
+		peer.Deliver(i.settings.Name(), func(p control.Packet) { i.controlInbox.Post(control.FromPeer(p)) }), i.logger)
 	i.spawn(func() { i.note(server.Serve(ctx, i.peerListener)) })
 	i.httpServer = i.newHTTPServer()
 	i.spawn(func() {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"papayaquay/core/control"
+	"papayaquay/io/socket"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -19,6 +19,9 @@
 	dialPause    = 200 * time.Millisecond // between attempts to reach an instance
 	queueLength  = 1024                   // packets that wait for one instance
 	closeIdle    = 90 * time.Second       // without a packet
+
+	// silenceTimeout ends a connection whose other side confirms nothing.
+	silenceTimeout = 1500 * time.Millisecond
 )
 
 // Client sends packets to other instances. Packets that cannot be sent are
@@ -43,7 +46,7 @@
 // NewClient returns a client of the named instance. The first of the keys
 // signs.
 func NewClient(name string, keys func() []string, options ...ClientOption) *Client {
-	c := &Client{name: name, keys: keys, dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, links: make(map[string]*link)}
+	c := &Client{name: name, keys: keys, dial: socket.Dialer(dialTimeout, silenceTimeout).DialContext, links: make(map[string]*link)}
 	for _, option := range options {
 		option(c)
 	}
@@ -54,20 +57,21 @@
 type link struct {
 	client  *Client
 	address string
-	queue   chan control.Packet
+	queue   chan func() ([]byte, error)
 }
 
-// Send queues a packet. It never blocks.
-func (c *Client) Send(ctx context.Context, p control.Packet) {
+// Send queues a packet for the instance at a peer address. It never blocks;
+// encode runs on another goroutine.
+func (c *Client) Send(ctx context.Context, address string, encode func() ([]byte, error)) {
 	c.mu.Lock()
-	l := c.links[p.Address()]
+	l := c.links[address]
 	if l == nil {
-		l = &link{client: c, address: p.Address(), queue: make(chan control.Packet, queueLength)}
-		c.links[p.Address()] = l
+		l = &link{client: c, address: address, queue: make(chan func() ([]byte, error), queueLength)}
+		c.links[address] = l
 		go l.run(ctx)
 	}
 	select {
-	case l.queue <- p:
+	case l.queue <- encode:
 	default: // the instance is out of reach, the packet is dropped
 	}
 	c.mu.Unlock()
@@ -118,14 +122,14 @@
 }
 
 // take returns the next packet, or false when the link should end.
-func (l *link) take(ctx context.Context) (control.Packet, bool) {
+func (l *link) take(ctx context.Context) (func() ([]byte, error), bool) {
 	idle := time.NewTimer(closeIdle)
 	defer idle.Stop()
 	select {
 	case p := <-l.queue:
 		return p, true
 	case <-ctx.Done():
-		return control.Packet{}, false
+		return nil, false
 	case <-idle.C:
 	}
 	l.client.mu.Lock()
@@ -135,7 +139,7 @@
 		return p, true
 	default:
 		delete(l.client.links, l.address)
-		return control.Packet{}, false
+		return nil, false
 	}
 }
 
@@ -167,8 +171,8 @@
 }
 
 // write sends one packet.
-func (l *link) write(ctx context.Context, rpc *jsonrpc2.Conn, conn net.Conn, p control.Packet) error {
-	data, err := Encode(p)
+func (l *link) write(ctx context.Context, rpc *jsonrpc2.Conn, conn net.Conn, encode func() ([]byte, error)) error {
+	data, err := encode()
 	if err != nil {
 		return nil // a packet that cannot be encoded is not the connection's fault
 	}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -16,8 +16,11 @@
 	frameBytes    = 128 << 20 // afterwards
 )
 
-// ErrTooLarge reports a frame above the limit.
-var ErrTooLarge = errors.New("frame exceeds the limit")
+// Errors of received frames and packets.
+var (
+	ErrTooLarge    = errors.New("frame exceeds the limit")
+	ErrMisdirected = errors.New("packet of another sender or for another instance")
+)
 
 // frameCodec reads and writes JSON-RPC objects with a bound on their size.
 type frameCodec struct {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"papayaquay/core/control"
 	"papayaquay/core/event"
 
 	"github.com/cockroachdb/errors"
@@ -38,16 +37,17 @@
 type Server struct {
 	name    string
 	keys    func() []string
-	deliver func(control.Packet)
+	deliver func(from string, data []byte) error
 	logger  *slog.Logger
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 }
 
-// NewServer returns a server that hands packets for the named instance to
-// deliver. keys returns the accepted keys at the moment.
-func NewServer(name string, keys func() []string, deliver func(control.Packet), logger *slog.Logger) *Server {
+// NewServer returns a server that hands encoded packets for the named instance
+// to deliver, which refuses a sender by an error. keys returns the accepted keys
+// at the moment.
+func NewServer(name string, keys func() []string, deliver func(from string, data []byte) error, logger *slog.Logger) *Server {
 	return &Server{name: name, keys: keys, deliver: deliver, logger: logger, conns: make(map[net.Conn]struct{})}
 }
 
@@ -177,10 +177,8 @@
 	if err := x.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
-	packet, err := Decode(e.Packet, time.Now())
-	if err != nil || packet.From() != x.from || packet.To() != x.server.name {
+	if x.server.deliver(x.from, e.Packet) != nil {
 		return x.refuse(rpc)
 	}
-	x.server.deliver(packet)
 	return nil
 }
--- a/io/peer/wire.go
+++ b/io/peer/wire.go
@@ -126,6 +126,22 @@
 		control.WithCalls(calls, answers), wire.config(), wire.demands(), wire.suspicions(), control.WithWork(wire.Work)), nil
 }
 
+// Deliver returns a function for NewServer that decodes packets to the named
+// instance of a control world.
+func Deliver(name string, deliver func(control.Packet)) func(from string, data []byte) error {
+	return func(from string, data []byte) error {
+		p, err := Decode(data, time.Now())
+		if err != nil {
+			return err
+		}
+		if p.From() != from || p.To() != name {
+			return errors.Wrapf(ErrMisdirected, "from %s to %s", p.From(), p.To())
+		}
+		deliver(p)
+		return nil
+	}
+}
+
 // config returns the configuration part of a packet.
 func (p packet) config() control.PacketOption {
 	var pulls []control.Pull
--- /dev/null
+++ b/io/record/batch.go
@@ -0,0 +1,249 @@
+package record
+
+import (
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/cluster"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// batchItem is the wire form of batch.Item.
+type batchItem struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Path    string
+	Headers []string // names and values by turns
+	Body    []byte
+	Tokens  int
+}
+
+// toBatchItems returns the wire form of items.
+func toBatchItems(items []batch.Item) []batchItem {
+	out := make([]batchItem, 0, len(items))
+	for _, i := range items {
+		wire := batchItem{ID: i.ID(), Path: i.Path(), Body: i.Body(), Tokens: i.Tokens()}
+		for _, h := range i.Headers() {
+			wire.Headers = append(wire.Headers, h.Name(), h.Value())
+		}
+		out = append(out, wire)
+	}
+	return out
+}
+
+// batchItems returns the items.
+func batchItems(items []batchItem) []batch.Item {
+	out := make([]batch.Item, 0, len(items))
+	for _, i := range items {
+		var headers []batch.Header
+		for n := 0; n+1 < len(i.Headers); n += 2 {
+			headers = append(headers, batch.NewHeader(i.Headers[n], i.Headers[n+1]))
+		}
+		out = append(out, batch.NewItem(i.ID, i.Path, headers, i.Body, i.Tokens))
+	}
+	return out
+}
+
+// batchOrder is the wire form of batch.Order.
+type batchOrder struct {
+	_         struct{} `cbor:",toarray"`
+	ID        string
+	Route     string
+	Host      string
+	Submitted int64
+	Due       int64
+	Expiry    int64
+	Limit     int
+	Attempts  int
+	Items     []batchItem
+}
+
+// toBatchOrder returns the wire form of an order.
+func toBatchOrder(o batch.Order) batchOrder {
+	return batchOrder{ID: o.ID(), Route: o.Route(), Host: o.Host(), Submitted: millis(o.Submitted()), Due: millis(o.Due()),
+		Expiry: millis(o.Expiry()), Limit: o.Limit(), Attempts: o.Attempts(), Items: toBatchItems(o.Items())}
+}
+
+// order returns the order.
+func (o batchOrder) order() batch.Order {
+	return batch.NewOrder(o.ID, o.Route, o.Host, batchItems(o.Items),
+		batch.WithTimes(fromMillis(o.Submitted), fromMillis(o.Due), fromMillis(o.Expiry)), batch.WithBounds(o.Limit, o.Attempts))
+}
+
+// batchResult is the wire form of batch.Result, with the job where it is known
+// from nothing else.
+type batchResult struct {
+	_       struct{} `cbor:",toarray"`
+	Job     string
+	Item    int
+	Verdict uint8
+	Text    []byte
+}
+
+// result returns the result.
+func (r batchResult) result() batch.Result {
+	return batch.NewResult(r.Item, batch.Verdict(r.Verdict), r.Text)
+}
+
+// batchCommand is the wire form of batch.Command.
+type batchCommand struct {
+	Kind     uint8         `cbor:"1,keyasint"`
+	Subject  string        `cbor:"2,keyasint,omitempty"`
+	Order    *batchOrder   `cbor:"3,keyasint,omitempty"`
+	Finishes []batchResult `cbor:"4,keyasint,omitempty"`
+	Before   int64         `cbor:"5,keyasint,omitempty"`
+}
+
+// encodeBatch encodes a command of the jobs ledger.
+func encodeBatch(c batch.Command) ([]byte, error) {
+	wire := batchCommand{Kind: uint8(c.Kind()), Subject: c.Subject(), Before: millis(c.Before())}
+	if c.Kind() == batch.CommandSubmit {
+		order := toBatchOrder(c.Order())
+		wire.Order = &order
+	}
+	for _, f := range c.Finishes() {
+		wire.Finishes = append(wire.Finishes, batchResult{Job: f.Job(), Item: f.Result().Item(),
+			Verdict: uint8(f.Result().Verdict()), Text: f.Result().Text()})
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode batch command")
+}
+
+// decodeBatch decodes a command of the jobs ledger.
+func decodeBatch(data []byte) (batch.Command, error) {
+	var wire batchCommand
+	if err := Decode(data, &wire); err != nil {
+		return batch.Command{}, err
+	}
+	switch batch.CommandKind(wire.Kind) {
+	case batch.CommandSubmit:
+		if wire.Order == nil {
+			return batch.Command{}, errors.New("batch command without its order")
+		}
+		return batch.Submit(wire.Order.order()), nil
+	case batch.CommandFinish:
+		var finishes []batch.Finish
+		for _, f := range wire.Finishes {
+			finishes = append(finishes, batch.NewFinish(f.Job, f.result()))
+		}
+		return batch.Complete(finishes), nil
+	case batch.CommandEnd:
+		return batch.End(wire.Subject), nil
+	case batch.CommandExpire:
+		return batch.Expire(time.UnixMilli(wire.Before)), nil
+	case batch.CommandRetire:
+		return batch.Retire(wire.Subject), nil
+	}
+	return batch.Command{}, errors.Newf("unknown batch command %d", wire.Kind)
+}
+
+// batchJob is the wire form of batch.Job.
+type batchJob struct {
+	_       struct{} `cbor:",toarray"`
+	Order   batchOrder
+	Ended   bool
+	Results []batchResult
+}
+
+// batchState is the wire form of a snapshot of the jobs ledger.
+type batchState struct {
+	_        struct{} `cbor:",toarray"`
+	Jobs     []batchJob
+	Retirees []string
+}
+
+// encodeBatchState encodes a snapshot of the jobs ledger.
+func encodeBatchState(e cluster.BatchExport) ([]byte, error) {
+	wire := batchState{Retirees: e.Retirees()}
+	for _, j := range e.Jobs() {
+		job := batchJob{Order: toBatchOrder(j.Order()), Ended: j.Ended()}
+		for _, r := range j.Results() {
+			job.Results = append(job.Results, batchResult{Item: r.Item(), Verdict: uint8(r.Verdict()), Text: r.Text()})
+		}
+		wire.Jobs = append(wire.Jobs, job)
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode batch state")
+}
+
+// decodeBatchState decodes a snapshot of the jobs ledger.
+func decodeBatchState(data []byte) (cluster.BatchExport, error) {
+	var wire batchState
+	if err := Decode(data, &wire); err != nil {
+		return cluster.BatchExport{}, err
+	}
+	var jobs []batch.Job
+	for _, j := range wire.Jobs {
+		var results []batch.Result
+		for _, r := range j.Results {
+			if r.Item < 0 || r.Item >= len(j.Order.Items) {
+				return cluster.BatchExport{}, errors.Newf("job %s: result of item %d of %d", j.Order.ID, r.Item, len(j.Order.Items))
+			}
+			results = append(results, r.result())
+		}
+		jobs = append(jobs, batch.RestoreJob(j.Order.order(), j.Ended, results))
+	}
+	return cluster.NewBatchExport(jobs, wire.Retirees), nil
+}
+
+// batchPage is the wire form of batch.Page.
+type batchPage struct {
+	_       struct{} `cbor:",toarray"`
+	Total   int
+	Next    int
+	Results []batchPageResult
+}
+
+// batchPageResult is the wire form of batch.PageResult.
+type batchPageResult struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Verdict uint8
+	Text    []byte
+}
+
+// encodePage encodes a part of a job's results.
+func encodePage(p batch.Page) ([]byte, error) {
+	wire := batchPage{Total: p.Total(), Next: p.Next()}
+	for _, r := range p.Results() {
+		wire.Results = append(wire.Results, batchPageResult{ID: r.ID(), Verdict: uint8(r.Verdict()), Text: r.Text()})
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode page")
+}
+
+// decodePage decodes a part of a job's results.
+func decodePage(data []byte) (batch.Page, error) {
+	var wire batchPage
+	if err := Decode(data, &wire); err != nil {
+		return batch.Page{}, err
+	}
+	var results []batch.PageResult
+	for _, r := range wire.Results {
+		results = append(results, batch.NewPageResult(r.ID, batch.Verdict(r.Verdict), r.Text))
+	}
+	return batch.NewPage(wire.Total, wire.Next, results), nil
+}
+
+// batchQuery is the wire form of cluster.Query.
+type batchQuery struct {
+	_     struct{} `cbor:",toarray"`
+	Job   string
+	After int
+	Item  string
+}
+
+// encodeQuery encodes a read of a job.
+func encodeQuery(q cluster.Query) ([]byte, error) {
+	data, err := cbor.Marshal(batchQuery{Job: q.Job(), After: q.After(), Item: q.Item()})
+	return data, errors.Wrap(err, "encode query")
+}
+
+// decodeQuery decodes a read of a job.
+func decodeQuery(data []byte) (cluster.Query, error) {
+	var wire batchQuery
+	err := Decode(data, &wire)
+	return cluster.NewQuery(wire.Job, wire.After, wire.Item), err
+}
--- /dev/null
+++ b/io/record/cluster.go
@@ -0,0 +1,268 @@
+package record
+
+import (
+	"papayaquay/core/cluster"
+	"papayaquay/core/directory"
+	"papayaquay/core/member"
+	"papayaquay/core/registry"
+	"papayaquay/core/usage"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// NewClusterCodec returns the functions that a cluster world stores and sends
+// with.
+func NewClusterCodec() cluster.Codec {
+	return cluster.Codec{
+		Registry:      cluster.NewPair(encodeRegistry, decodeRegistry),
+		RegistryState: cluster.NewPair(encodeRegistryState, decodeRegistryState),
+		Batch:         cluster.NewPair(encodeBatch, decodeBatch),
+		BatchState:    cluster.NewPair(encodeBatchState, decodeBatchState),
+		Following:     cluster.NewPair(encodeFollowing, decodeFollowing),
+		News:          cluster.NewPair(encodeNews, decodeNews),
+		Report:        cluster.NewPair(encodeReport, decodeReport),
+		Loads:         cluster.NewPair(encodeLoads, decodeLoads),
+		Query:         cluster.NewPair(encodeQuery, decodeQuery),
+		Page:          cluster.NewPair(encodePage, decodePage),
+	}
+}
+
+// document is the wire form of registry.Document.
+type document struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Content []byte
+}
+
+// toDocument returns the wire form of a document.
+func toDocument(d registry.Document) document {
+	return document{Number: d.Number(), Content: d.Content()}
+}
+
+// document returns the document.
+func (d document) document() registry.Document { return registry.NewDocument(d.Number, d.Content) }
+
+// departure is the wire form of registry.Departure.
+type departure struct {
+	_           struct{} `cbor:",toarray"`
+	Backend     string
+	Incarnation uint64
+}
+
+// registryCommand is the wire form of registry.Command.
+type registryCommand struct {
+	_         struct{} `cbor:",toarray"`
+	Document  document
+	Founders  []Member
+	Departure departure
+}
+
+// encodeRegistry encodes a command of the control ledger.
+func encodeRegistry(c registry.Command) ([]byte, error) {
+	wire := registryCommand{Document: toDocument(c.Document()), Founders: ToMembers(c.Founders()),
+		Departure: departure{Backend: c.Departure().Backend(), Incarnation: c.Departure().Incarnation()}}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode registry command")
+}
+
+// decodeRegistry decodes a command of the control ledger.
+func decodeRegistry(data []byte) (registry.Command, error) {
+	var wire registryCommand
+	if err := Decode(data, &wire); err != nil {
+		return registry.Command{}, err
+	}
+	switch {
+	case wire.Document.Number > 0:
+		return registry.Configure(wire.Document.document()), nil
+	case len(wire.Founders) > 0:
+		return registry.Found(Members(wire.Founders)), nil
+	}
+	return registry.Depart(registry.NewDeparture(wire.Departure.Backend, wire.Departure.Incarnation)), nil
+}
+
+// registryState is the wire form of registry.State.
+type registryState struct {
+	_        struct{} `cbor:",toarray"`
+	Document document
+	Founders []Member
+	Leaving  []departure
+}
+
+// encodeRegistryState encodes a snapshot of the control ledger.
+func encodeRegistryState(s *registry.State) ([]byte, error) {
+	wire := registryState{Document: toDocument(s.Document()), Founders: ToMembers(s.Founders())}
+	for _, d := range s.Leaving() {
+		wire.Leaving = append(wire.Leaving, departure{Backend: d.Backend(), Incarnation: d.Incarnation()})
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode registry state")
+}
+
+// decodeRegistryState decodes a snapshot of the control ledger.
+func decodeRegistryState(data []byte) (*registry.State, error) {
+	var wire registryState
+	if err := Decode(data, &wire); err != nil {
+		return nil, err
+	}
+	var leaving []registry.Departure
+	for _, d := range wire.Leaving {
+		leaving = append(leaving, registry.NewDeparture(d.Backend, d.Incarnation))
+	}
+	return registry.Restore(wire.Document.document(), Members(wire.Founders), leaving), nil
+}
+
+// node is the wire form of directory.Node.
+type node struct {
+	_           struct{} `cbor:",toarray"`
+	Address     string
+	Name        string
+	DataCentre  string
+	Kind        uint8
+	Incarnation uint64
+	Revision    uint64
+	Replica     string
+	Fresh       bool
+	Term        uint64
+}
+
+// toNode returns the wire form of an instance.
+func toNode(n directory.Node) node {
+	return node{Address: n.Address(), Name: n.Name(), DataCentre: n.DataCentre(), Kind: uint8(n.Kind()),
+		Incarnation: n.Incarnation(), Revision: n.Revision(), Replica: n.Replica(), Fresh: n.Fresh(), Term: n.Term()}
+}
+
+// node returns the instance.
+func (n node) node() directory.Node {
+	return directory.NewNode(n.Address, n.Name, n.DataCentre, directory.Kind(n.Kind), n.Incarnation,
+		directory.WithRevision(n.Revision), directory.WithReplica(n.Replica, n.Fresh), directory.WithTerm(n.Term))
+}
+
+// server is the wire form of member.Backend.
+type server struct {
+	_           struct{} `cbor:",toarray"`
+	ID          string
+	Address     string
+	DataCentre  string
+	Slots       int
+	Services    []string
+	Incarnation uint64
+	Sequence    uint64
+	Leaving     bool
+	Gone        bool
+}
+
+// toServer returns the wire form of a backend server.
+func toServer(b member.Backend) server {
+	return server{ID: b.ID(), Address: b.Address(), DataCentre: b.DataCentre(), Slots: b.Slots(), Services: b.Services(),
+		Incarnation: b.Incarnation(), Sequence: b.Sequence(), Leaving: b.Leaving(), Gone: b.Gone()}
+}
+
+// server returns the backend server.
+func (s server) server() member.Backend {
+	return member.NewBackend(s.ID, s.Address, s.DataCentre, member.ProtocolEngine, s.Slots, s.Incarnation, s.Sequence,
+		member.WithServices(s.Services...), member.WithLeaving(s.Leaving), member.WithGone(s.Gone))
+}
+
+// following is the wire form of cluster.Following.
+type following struct {
+	_       struct{} `cbor:",toarray"`
+	Node    node
+	Epoch   uint64
+	Version uint64
+	Number  uint64
+	Founded bool
+}
+
+// encodeFollowing encodes a poll.
+func encodeFollowing(f cluster.Following) ([]byte, error) {
+	data, err := cbor.Marshal(following{Node: toNode(f.Node()), Epoch: f.Epoch(), Version: f.Version(),
+		Number: f.Number(), Founded: f.Founded()})
+	return data, errors.Wrap(err, "encode poll")
+}
+
+// decodeFollowing decodes a poll.
+func decodeFollowing(data []byte) (cluster.Following, error) {
+	var wire following
+	err := Decode(data, &wire)
+	return cluster.NewFollowing(wire.Node.node(), wire.Epoch, wire.Version, wire.Number, wire.Founded), err
+}
+
+// news is the wire form of cluster.News.
+type news struct {
+	_        struct{} `cbor:",toarray"`
+	Epoch    uint64
+	Version  uint64
+	Nodes    []node
+	Servers  []server
+	Document document
+	Founders []Member
+}
+
+// encodeNews encodes the answer to a poll.
+func encodeNews(n cluster.News) ([]byte, error) {
+	u := n.Update()
+	wire := news{Epoch: u.Epoch(), Version: u.Version(), Document: toDocument(n.Document()), Founders: ToMembers(n.Founders())}
+	for _, x := range u.Nodes() {
+		wire.Nodes = append(wire.Nodes, toNode(x))
+	}
+	for _, b := range u.Backends() {
+		wire.Servers = append(wire.Servers, toServer(b))
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode news")
+}
+
+// decodeNews decodes the answer to a poll.
+func decodeNews(data []byte) (cluster.News, error) {
+	var wire news
+	if err := Decode(data, &wire); err != nil {
+		return cluster.News{}, err
+	}
+	var nodes []directory.Node
+	for _, n := range wire.Nodes {
+		nodes = append(nodes, n.node())
+	}
+	var servers []member.Backend
+	for _, s := range wire.Servers {
+		servers = append(servers, s.server())
+	}
+	return cluster.NewNews(directory.NewUpdate(wire.Epoch, wire.Version, nodes, servers),
+		wire.Document.document(), Members(wire.Founders)), nil
+}
+
+// encodeReport encodes an entry's load.
+func encodeReport(r usage.Report) ([]byte, error) {
+	data, err := cbor.Marshal(r.Running())
+	return data, errors.Wrap(err, "encode report")
+}
+
+// decodeReport decodes an entry's load.
+func decodeReport(data []byte) (usage.Report, error) {
+	running := make(map[string]int)
+	err := Decode(data, &running)
+	return usage.NewReport(running), err
+}
+
+// encodeLoads encodes the load of all instances: online and batch by server.
+func encodeLoads(l cluster.Loads) ([]byte, error) {
+	wire := make(map[string][2]int, len(l))
+	for id, load := range l {
+		wire[id] = [2]int{load.Online(), load.Batch()}
+	}
+	data, err := cbor.Marshal(wire)
+	return data, errors.Wrap(err, "encode loads")
+}
+
+// decodeLoads decodes the load of all instances.
+func decodeLoads(data []byte) (cluster.Loads, error) {
+	wire := make(map[string][2]int)
+	if err := Decode(data, &wire); err != nil {
+		return nil, err
+	}
+	loads := make(cluster.Loads, len(wire))
+	for id, counts := range wire {
+		loads[id] = usage.NewLoad(counts[0], counts[1])
+	}
+	return loads, nil
+}
--- a/io/settings/access.go
+++ b/io/settings/access.go
@@ -49,10 +49,7 @@
 func (s *Settings) TrafficThreads() int { return s.content.TrafficThreads }
 
 // LogLevel returns the least severity that is logged.
-func (s *Settings) LogLevel() slog.Level {
-	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError}
-	return levels[s.content.LogLevel]
-}
+func (s *Settings) LogLevel() slog.Level { return logLevels[s.content.LogLevel] }
 
 // CompactAfter returns how many applied entries a log holds before a snapshot.
 func (s *Settings) CompactAfter() uint64 { return s.content.Limits.CompactAfter }
--- /dev/null
+++ b/io/settings/fleet.go
@@ -0,0 +1,176 @@
+package settings
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/cockroachdb/errors"
+)
+
+// Roles of instances in a deployment with control instances.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+	RoleStore   = "store"
+)
+
+// fleetFile is the content of the settings file of a fleet instance.
+type fleetFile struct {
+	Name           string   `toml:"name"`
+	Role           string   `toml:"role"`
+	DataCentre     string   `toml:"data_centre"`
+	Address        string   `toml:"address"`
+	PeerPort       int      `toml:"peer_port"`
+	CallerAddress  string   `toml:"caller_address,omitempty"`
+	ReadyAddress   string   `toml:"ready_address,omitempty"`
+	ControlAddress string   `toml:"control_address,omitempty"`
+	MetricsPort    int      `toml:"metrics_port"`
+	DataFolder     string   `toml:"data_folder,omitempty"`
+	Seeds          []string `toml:"seeds"`
+	FirstStart     bool     `toml:"first_start"`
+	Tolerated      int      `toml:"tolerated_machines"`
+	MemoryMB       int      `toml:"memory_mb"`
+	StopBound      duration `toml:"stop_bound"`
+	LogLevel       string   `toml:"log_level"`
+}
+
+// Fleet is the checked content of the settings file of an instance in a
+// deployment with control instances.
+type Fleet struct {
+	content fleetFile
+}
+
+// LoadFleet reads and checks a settings file.
+func LoadFleet(path string) (*Fleet, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Mark(errors.Newf("%s: %v", path, err), ErrInvalid)
+	}
+	return ParseFleet(path, string(data))
+}
+
+// ParseFleet checks the text of a settings file; path names it in errors.
+func ParseFleet(path, text string) (*Fleet, error) {
+	content := fleetFile{LogLevel: "info", StopBound: duration(DefaultStopBound)}
+	meta, err := toml.Decode(text, &content)
+	if err != nil {
+		return nil, invalid(path, decodeReason(err))
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, invalid(path, fmt.Sprintf("%s: unknown key", unknown[0]))
+	}
+	if reason := content.check(); reason != "" {
+		return nil, invalid(path, reason)
+	}
+	return &Fleet{content: content}, nil
+}
+
+// check returns the first thing that is wrong, as "key: reason", or nothing.
+func (f fleetFile) check() string {
+	for _, c := range []struct {
+		bad    bool
+		reason string
+	}{
+		{f.Name == "", "name: missing"},
+		{!slices.Contains([]string{RoleEntry, RoleControl, RoleStore}, f.Role), "role: must be entry, control or store"},
+		{f.DataCentre == "", "data_centre: missing"},
+		{net.ParseIP(f.Address) == nil, fmt.Sprintf("address: %q is no IP number", f.Address)},
+		{f.PeerPort < 1 || f.PeerPort > 65535, "peer_port: must be 1 to 65535"},
+		{f.MetricsPort < 1 || f.MetricsPort > 65535, "metrics_port: must be 1 to 65535"},
+		{len(f.Seeds) == 0, "seeds: at least one address is needed"},
+		{f.Role == RoleEntry && f.CallerAddress == "", "caller_address: missing"},
+		{f.Role == RoleEntry && f.ReadyAddress == "", "ready_address: missing"},
+		{f.Role == RoleControl && f.ControlAddress == "", "control_address: missing"},
+		{f.Role != RoleEntry && f.DataFolder == "", "data_folder: missing"},
+		{f.Tolerated < 0, "tolerated_machines: must not be negative"},
+		{f.MemoryMB < 1, "memory_mb: must be at least 1"},
+		{f.StopBound == 0, "stop_bound: must not be zero"},
+		{!validLevel(f.LogLevel), "log_level: must be debug, info, warn or error"},
+	} {
+		if c.bad {
+			return c.reason
+		}
+	}
+	for key, address := range map[string]string{"caller_address": f.CallerAddress, "ready_address": f.ReadyAddress, "control_address": f.ControlAddress} {
+		if reason := checkAddress(address); address != "" && reason != "" {
+			return key + ": " + reason
+		}
+	}
+	for n, seed := range f.Seeds {
+		if reason := checkAddress(seed); reason != "" {
+			return fmt.Sprintf("seeds[%d]: %s", n, reason)
+		}
+	}
+	return ""
+}
+
+// Name returns the instance's name.
+func (f *Fleet) Name() string { return f.content.Name }
+
+// Role returns what the instance does.
+func (f *Fleet) Role() string { return f.content.Role }
+
+// DataCentre returns the data centre.
+func (f *Fleet) DataCentre() string { return f.content.DataCentre }
+
+// PeerAddress returns the address for other instances.
+func (f *Fleet) PeerAddress() string { return f.onPort(f.content.Address, f.content.PeerPort) }
+
+// CallerAddress returns the address for callers.
+func (f *Fleet) CallerAddress() string { return f.content.CallerAddress }
+
+// ReadyAddress returns the address that tells whether the instance takes new
+// connections of callers.
+func (f *Fleet) ReadyAddress() string { return f.content.ReadyAddress }
+
+// ControlAddress returns the address for operators and backend servers.
+func (f *Fleet) ControlAddress() string { return f.content.ControlAddress }
+
+// MetricsAddress returns the address that metrics are read from.
+func (f *Fleet) MetricsAddress() string { return f.onPort(f.content.Address, f.content.MetricsPort) }
+
+// DataFolder returns the folder for durable state, empty at entries.
+func (f *Fleet) DataFolder() string { return f.content.DataFolder }
+
+// Seeds returns the peer addresses of control instances to ask first. All
+// instances use the same peer port.
+func (f *Fleet) Seeds() []string {
+	var peers []string
+	for _, seed := range f.content.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil { // checked when the file was read
+			peers = append(peers, f.onPort(host, f.content.PeerPort))
+		}
+	}
+	return peers
+}
+
+// onPort joins a host and a port.
+func (f *Fleet) onPort(host string, port int) string {
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+// Founds reports whether this instance is one of the founders of the control
+// ledger: a seed, at the first start of the whole deployment.
+func (f *Fleet) Founds() bool {
+	return f.content.FirstStart && slices.Contains(f.content.Seeds, f.content.ControlAddress)
+}
+
+// Voters returns the voters of a ledger that tolerates the loss of so many
+// machines.
+func (f *Fleet) Voters() int { return 2*f.content.Tolerated + 1 }
+
+// MemoryBytes returns the memory that the process may use.
+func (f *Fleet) MemoryBytes() int64 { return int64(f.content.MemoryMB) << 20 }
+
+// StopBound returns the longest graceful shutdown.
+func (f *Fleet) StopBound() time.Duration { return time.Duration(f.content.StopBound) }
+
+// LogLevel returns the least severity that is logged.
+func (f *Fleet) LogLevel() slog.Level { return logLevels[f.content.LogLevel] }
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -197,9 +198,13 @@
 
 // validLevel reports whether a log level has a known name.
 func validLevel(level string) bool {
-	return level == "debug" || level == "info" || level == "warn" || level == "error"
+	_, ok := logLevels[level]
+	return ok
 }
 
+// logLevels are the severities by name.
+var logLevels = map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError}
+
 // checkAddresses checks the own addresses and the list of instances.
 func (f file) checkAddresses() string {
 	if reason := checkAddress(f.PeerAddress); reason != "" {
--- /dev/null
+++ b/io/socket/socket.go
@@ -0,0 +1,47 @@
+// Package socket opens TCP connections that notice a silent other side.
+package socket
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Keep-alive probes find a silent peer on a connection that sends nothing. The
+// kernel takes whole seconds.
+const (
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
+
+// keepAlive is the configuration of the probes.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
+// Dialer returns a dialer whose connections end when sent bytes stay
+// unconfirmed for the silence timeout.
+func Dialer(timeout, silence time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: userTimeout(silence)}
+}
+
+// ListenConfig returns the configuration of listeners whose connections end
+// when sent bytes stay unconfirmed for the silence timeout.
+func ListenConfig(silence time.Duration) *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAlive, Control: userTimeout(silence)}
+}
+
+// userTimeout returns a function that sets TCP_USER_TIMEOUT on a socket.
+func userTimeout(silence time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(fd uintptr) {
+			failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
+	}
+}
--- a/main.go
+++ b/main.go
@@ -29,7 +29,7 @@
 // commands returns the commands in the order of the help text.
 func commands() []*cli.Command {
 	return []*cli.Command{
-		cmdServe, cmdCheckConfig, cmdDemo, cmdAsk, cmdSubmit, cmdFetch, cmdJob,
+		cmdServe, cmdRun, cmdCheckConfig, cmdDemo, cmdAsk, cmdSubmit, cmdFetch, cmdJob,
 		cmdService, cmdModel, cmdAdapter, cmdAccount, cmdHistory,
 		cmdStatus, cmdDrain, cmdBench, cmdVersion,
 	}
