Platform: departures without a start, quicker failover of followed control instances, silent servers left out

Change: a departure without a start means the known one; first poll of a control instance is short and answered at once; progress of answers is watched, silent servers and data centres are left out, what may be repeated goes elsewhere. Tests: core/cluster (simulated deployments), core/entry, core/runner, platform.

--- a/core/cluster/host_registry.go
+++ b/core/cluster/host_registry.go
@@ -7,7 +7,6 @@
 	"papayaquay/core/directory"
 	"papayaquay/core/event"
 	"papayaquay/core/ledger"
-	"papayaquay/core/member"
 	"papayaquay/core/registry"
 )
 
@@ -25,20 +24,28 @@
 // registryHost is the sub-world of a control instance's state machine.
 type registryHost struct {
 	state     *registry.State
-	left      map[registry.Departure]bool
-	storeSeen time.Time // of the first store instance
+	left      map[string]uint64 // last start that ended, by server
+	storeSeen time.Time         // of the first store instance
 	proposed  time.Time
 	encoding  bool
 }
 
 // newRegistryHost returns the sub-world in its initial state.
 func newRegistryHost() *registryHost {
-	return &registryHost{state: registry.New(), left: make(map[registry.Departure]bool)}
+	return &registryHost{state: registry.New(), left: make(map[string]uint64)}
 }
 
-// departed reports whether a server's leaving is committed.
-func (h *registryHost) departed(b member.Backend) bool {
-	return h.left[registry.NewDeparture(b.ID(), b.Incarnation())]
+// departed reports whether it is committed that a start of a server, or a
+// later one, ended.
+func (h *registryHost) departed(d registry.Departure) bool {
+	left, ok := h.left[d.Backend()]
+	return ok && d.Incarnation() <= left
+}
+
+// noteDeparture notes a committed departure.
+func (w *World) noteDeparture(d registry.Departure) {
+	w.registry.left[d.Backend()] = max(w.registry.left[d.Backend()], d.Incarnation())
+	w.directory.Leave(d.Backend(), d.Incarnation())
 }
 
 // applyRegistry applies a committed command.
@@ -49,8 +56,7 @@
 	}
 	w.registry.state.Apply(command)
 	if d := command.Departure(); d.Backend() != "" {
-		w.registry.left[d] = true
-		w.directory.Leave(d.Backend(), d.Incarnation())
+		w.noteDeparture(d)
 	}
 	w.setDocument(w.registry.state.Document(), "ledger")
 	return call.StatusDone, nil
@@ -63,10 +69,9 @@
 		return err
 	}
 	w.registry.state = state
-	w.registry.left = make(map[registry.Departure]bool)
+	w.registry.left = make(map[string]uint64)
 	for _, d := range state.Leaving() {
-		w.registry.left[d] = true
-		w.directory.Leave(d.Backend(), d.Incarnation())
+		w.noteDeparture(d)
 	}
 	w.setDocument(state.Document(), "snapshot")
 	return nil
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -55,22 +55,28 @@
 // announce takes a backend server's announcement. One that arrives late must
 // not bring back a server whose leaving is committed.
 func (w *World) announce(now time.Time, b member.Backend) {
-	if w.registry != nil && w.registry.departed(b) {
+	if w.registry != nil && w.registry.departed(registry.NewDeparture(b.ID(), b.Incarnation())) {
 		b = b.WithoutWork()
 	}
 	w.directory.Announce(now, b)
 }
 
 // depart makes it durable that a server leaves. The directory says so at once.
+// A server that does not name its start means the one known here, or else any
+// start until now.
 func (w *World) depart(now time.Time, b member.Backend, reply func(call.Reply)) {
-	b = b.WithoutWork()
-	w.directory.Announce(now, b)
-	w.directory.Leave(b.ID(), b.Incarnation())
-	if w.registry != nil && w.registry.departed(b) {
+	d := registry.NewDeparture(b.ID(), b.Incarnation())
+	if b.Incarnation() == 0 {
+		d = registry.NewDeparture(b.ID(), w.directory.Incarnation(b.ID(), uint64(w.wall().UnixMilli())))
+	} else {
+		w.directory.Announce(now, b.WithoutWork())
+	}
+	w.directory.Leave(d.Backend(), d.Incarnation())
+	if w.registry != nil && w.registry.departed(d) {
 		reply(call.NewReply(0, call.StatusDone, nil))
 		return
 	}
-	payload, err := w.codec.Registry.Encode(registry.Depart(registry.NewDeparture(b.ID(), b.Incarnation())))
+	payload, err := w.codec.Registry.Encode(registry.Depart(d))
 	if err != nil {
 		reply(call.NewReply(0, call.StatusUnsent, nil))
 		return
--- /dev/null
+++ b/core/cluster/scenario_test.go
@@ -0,0 +1,229 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/call"
+	"papayaquay/core/directory"
+	"papayaquay/core/runner"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Bounds that the users state for their sites.
+const (
+	applyBound   = 2 * time.Second         // for a change to be in force everywhere
+	catchUpBound = 4600 * time.Millisecond // for a newcomer to replace a lost disk
+)
+
+// TestStart checks that a first start founds both ledgers and that a change
+// reaches every instance.
+func TestStart(t *testing.T) {
+	s := newTestSystem(t, 4)
+	s.run(4 * time.Second)
+	s.c.Assert(s.configure("c1", 3), qt.Equals, call.StatusDone)
+	s.run(applyBound)
+	for _, n := range s.nodes {
+		s.c.Check(n.snapshot.Config().Number(), qt.Equals, uint64(3), qt.Commentf(n.address))
+	}
+	voters := 0
+	for _, m := range s.leader(directory.KindStore).world.members() {
+		if m.Voter() {
+			voters++
+		}
+	}
+	s.c.Assert(voters, qt.Equals, 3)
+}
+
+// TestNumbers checks that the highest number is in force and that others are
+// acknowledged without effect.
+func TestNumbers(t *testing.T) {
+	s := newTestSystem(t, 3)
+	s.run(4 * time.Second)
+	for _, number := range []uint64{5, 3, 5, 9, 7} {
+		s.c.Assert(s.configure("c0", number), qt.Equals, call.StatusDone)
+	}
+	status, content := s.document("c2")
+	s.c.Assert(status, qt.Equals, call.StatusDone)
+	s.c.Assert(content, qt.Equals, "9")
+}
+
+// TestCutRead checks that a control instance that is cut off answers no read,
+// though it led a moment ago.
+func TestCutRead(t *testing.T) {
+	s := newTestSystem(t, 3)
+	s.run(4 * time.Second)
+	s.c.Assert(s.configure("c0", 5), qt.Equals, call.StatusDone)
+	old := s.leader(directory.KindControl)
+	s.cut = func(from, to string) bool { return (from == old.address) != (to == old.address) }
+	status, _ := s.document(old.address)
+	s.c.Assert(status, qt.Not(qt.Equals), call.StatusDone)
+	s.run(3 * time.Second)
+	for _, n := range s.nodes {
+		if n.kind == directory.KindControl && n != old {
+			s.c.Assert(s.configure(n.address, 6), qt.Equals, call.StatusDone)
+		}
+	}
+}
+
+// TestDeparture checks that a server's leaving survives the loss of the control
+// instance that acknowledged it, and that a late announcement changes nothing.
+func TestDeparture(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		incarnation uint64
+	}{
+		{"with its start", 1},
+		{"without its start", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 3)
+			s.run(4 * time.Second)
+			s.announce("c0", "b1", 1)
+			s.run(time.Second)
+			s.c.Assert(s.node("e0").snapshot.Servers(), qt.HasLen, 1)
+			acknowledged := false
+			b := s.announce("c0", "b1", 2)
+			if test.incarnation == 0 {
+				b = b.WithIncarnation(0)
+			}
+			n := s.node("c0")
+			n.inbox = append(n.inbox, Depart(b, func(r call.Reply) { acknowledged = r.Status() == call.StatusDone }))
+			for !acknowledged {
+				s.run(tickStep)
+			}
+			n.down = true
+			s.announce("c1", "b1", 3)
+			s.run(applyBound)
+			s.c.Assert(s.node("e0").snapshot.Servers(), qt.HasLen, 0)
+			s.c.Assert(s.node("e1").snapshot.Servers(), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestReplacedDisk checks that a lost disk is replaced by the instance that
+// comes back without it, one after the other, and that nothing acknowledged is
+// lost.
+func TestReplacedDisk(t *testing.T) {
+	for _, kind := range []directory.Kind{directory.KindControl, directory.KindStore} {
+		t.Run(kind.String(), func(t *testing.T) {
+			s := newTestSystem(t, 3)
+			s.run(4 * time.Second)
+			s.c.Assert(s.configure("c0", 5), qt.Equals, call.StatusDone)
+			s.c.Assert(s.submit("e0", "job", 3), qt.Equals, call.StatusDone)
+			for _, n := range s.nodes {
+				if n.kind != kind {
+					continue
+				}
+				n.down = true
+				s.run(time.Second)
+				n.disk = testDisk{nonce: n.disk.nonce + 1}
+				s.boot(n, false)
+				s.run(catchUpBound)
+			}
+			status, content := s.document("c1")
+			s.c.Assert(status, qt.Equals, call.StatusDone)
+			s.c.Assert(content, qt.Equals, "5")
+			p, status := s.page("e1", "job", 0)
+			s.c.Assert(status, qt.Equals, call.StatusDone)
+			s.c.Assert(p.Total(), qt.Equals, 3)
+		})
+	}
+}
+
+// TestReplacedInstance checks that a newcomer at another address takes the
+// place of an instance that is gone.
+func TestReplacedInstance(t *testing.T) {
+	s := newTestSystem(t, 3)
+	s.run(4 * time.Second)
+	s.c.Assert(s.submit("e0", "job", 3), qt.Equals, call.StatusDone)
+	for i, address := range []string{"s0", "s1", "s2"} {
+		s.node(address).down = true
+		fresh := s.add(fmt.Sprintf("s%d", 7+i), directory.KindStore, s.node(address).zone)
+		s.boot(fresh, false)
+		s.run(catchUpBound)
+	}
+	p, status := s.page("e1", "job", 0)
+	s.c.Assert(status, qt.Equals, call.StatusDone)
+	s.c.Assert(p.Total(), qt.Equals, 3)
+}
+
+// TestRetire checks that an instance is emptied only when enough others stay.
+func TestRetire(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		stores int
+		status call.Status
+	}{
+		{"too few would be left", 3, call.StatusFull},
+		{"another one takes over", 4, call.StatusDone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, test.stores)
+			s.run(5 * time.Second)
+			leader := s.leader(directory.KindStore).address
+			s.c.Assert(s.ask("c0", call.KindRetire, call.TargetJobs, []byte(leader)).Status(), qt.Equals, test.status)
+			s.run(catchUpBound)
+			done := s.ask("c0", call.KindRetired, call.TargetJobs, []byte(leader)).Payload()
+			s.c.Assert(len(done) == 1 && done[0] == 1, qt.Equals, test.status == call.StatusDone)
+		})
+	}
+}
+
+// TestItems checks that items run once the servers are known, that results keep
+// their positions, and that a new leader of the ledger runs what is left.
+func TestItems(t *testing.T) {
+	s := newTestSystem(t, 3)
+	s.run(4 * time.Second)
+	s.c.Assert(s.configure("c0", 5), qt.Equals, call.StatusDone)
+	s.announce("c0", "b1", 1)
+	s.run(time.Second)
+	s.c.Assert(s.submit("e0", "job", 3), qt.Equals, call.StatusDone)
+	s.run(500 * time.Millisecond)
+	leader := s.leader(directory.KindStore)
+	s.c.Assert(leader.attempts, qt.HasLen, 3)
+	leader.inbox = append(leader.inbox, ItemEnded(runner.NewOutcome(leader.attempts[1].Number(), runner.EndDone, []byte("one"), 4)))
+	s.run(500 * time.Millisecond)
+	p, _ := s.page("e0", "job", 0)
+	s.c.Assert(p.Results(), qt.HasLen, 1)
+	s.c.Assert(p.Results()[0].ID(), qt.Equals, "job-1")
+	leader.down = true
+	s.run(4 * time.Second)
+	next := s.leader(directory.KindStore)
+	s.c.Assert(next.attempts, qt.HasLen, 2)
+	next.inbox = append(next.inbox, ItemEnded(runner.NewOutcome(next.attempts[0].Number(), runner.EndImpossible, nil, 0)))
+	s.run(500 * time.Millisecond)
+	p, _ = s.page("e1", "job", 0)
+	s.c.Assert(p.Results(), qt.HasLen, 2)
+	s.c.Assert(p.Results()[0].ID(), qt.Equals, "job-1")
+	s.c.Assert(p.Results()[1].Verdict(), qt.Equals, batch.VerdictDead)
+}
+
+// TestUnknownJob checks that a job is called unknown only by an instance that
+// surely knows all jobs.
+func TestUnknownJob(t *testing.T) {
+	s := newTestSystem(t, 3)
+	s.run(4 * time.Second)
+	_, status := s.page("e0", "nothing", 0)
+	s.c.Assert(status, qt.Equals, call.StatusUnknown)
+	old := s.leader(directory.KindStore)
+	s.cut = func(from, to string) bool {
+		return (from == old.address) != (to == old.address) && s.node(from).kind == directory.KindStore && s.node(to).kind == directory.KindStore
+	}
+	s.c.Assert(s.submit("e0", "later", 1), qt.Equals, call.StatusDone)
+	_, status = s.page("e1", "later", 0)
+	s.c.Assert(status, qt.Equals, call.StatusDone)
+}
+
+// TestBound checks the bound on waiting tokens over all instances.
+func TestBound(t *testing.T) {
+	s := newTestSystem(t, 3)
+	s.run(4 * time.Second)
+	s.c.Assert(s.submit("e0", "a", 60), qt.Equals, call.StatusDone)
+	s.c.Assert(s.submit("e1", "b", 60), qt.Equals, call.StatusFull)
+	s.c.Assert(s.submit("e1", "c", 40), qt.Equals, call.StatusDone)
+	s.c.Assert(s.submit("e0", "a", 60), qt.Equals, call.StatusDone)
+}
--- a/core/cluster/system_follow.go
+++ b/core/cluster/system_follow.go
@@ -22,8 +22,11 @@
 		done(call.NewReply(0, call.StatusUnsent, nil))
 		return
 	}
-	c := call.New(call.KindFollow, call.TargetNode, now.Add(followHold+followTimeout), payload,
-		call.WithAddress(address), call.WithHold(followHold))
+	hold, timeout := followHold, followTimeout
+	if !row.known {
+		hold, timeout = 0, firstTimeout
+	}
+	c := call.New(call.KindFollow, call.TargetNode, now.Add(hold+timeout), payload, call.WithAddress(address), call.WithHold(hold))
 	w.calls.Start(now, c, func(reply call.Reply) {
 		if reply.Status() != call.StatusDone {
 			w.upstreams.lost(w.now, address)
--- a/core/cluster/upstream.go
+++ b/core/cluster/upstream.go
@@ -15,7 +15,8 @@
 	followWidth   = 2 // control instances that an instance follows
 	followHold    = 500 * time.Millisecond
 	followTimeout = 400 * time.Millisecond // beyond the hold
-	upstreamPause = 1500 * time.Millisecond
+	firstTimeout  = 300 * time.Millisecond // of the first poll, which is answered at once
+	upstreamPause = 300 * time.Millisecond // before an instance that did not answer is asked again
 )
 
 // upstreamRow is a control instance that is followed.
--- a/core/directory/world.go
+++ b/core/directory/world.go
@@ -155,6 +155,15 @@
 	row.backend, row.version = row.backend.WithoutWork(), w.version
 }
 
+// Incarnation returns the known start of a server, or the default for one that
+// is not known here.
+func (w *World) Incarnation(id string, unknown uint64) uint64 {
+	if row := w.backends.Get(id); row != nil {
+		return row.backend.Incarnation()
+	}
+	return unknown
+}
+
 // Take merges an update of another instance.
 func (w *World) Take(now time.Time, u Update) {
 	for _, n := range u.nodes {
--- /dev/null
+++ b/core/entry/entry_test.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"papayaquay/core/cluster"
+	"papayaquay/core/directory"
+	"papayaquay/core/member"
+	"papayaquay/core/usage"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// testEntry is a traffic world with what it decided.
+type testEntry struct {
+	c         *qt.C
+	now       time.Time
+	world     *World
+	snapshot  *cluster.Snapshot
+	decisions []Decision
+	abandoned int
+	report    usage.Report
+}
+
+// newTestEntry returns a world with servers of eight slots, by turns in the
+// data centres z0 and z1. The entry is in z0.
+func newTestEntry(t testing.TB, servers int, loads cluster.Loads) *testEntry {
+	e := &testEntry{c: qt.New(t), now: time.Unix(1000, 0)}
+	d := directory.New(1)
+	for i := range servers {
+		d.Announce(e.now, member.NewBackend(fmt.Sprintf("b%d", i), fmt.Sprintf("b%d:1", i), fmt.Sprintf("z%d", i%2),
+			member.ProtocolEngine, 8, 1, 1, member.WithServices("s")))
+	}
+	e.snapshot = cluster.NewSnapshot(nil, d.Servers(e.now), loads)
+	e.world = New("z0", func() *cluster.Snapshot { return e.snapshot }, WithReport(func(r usage.Report) { e.report = r }))
+	return e
+}
+
+// submit starts a request.
+func (e *testEntry) submit(repeatable bool, attempts int, progress *Progress) {
+	r := NewRequest("r", "s", repeatable, attempts, e.now, e.now.Add(5*time.Second), 300*time.Millisecond)
+	e.step(0, Submit(r, progress, func(d Decision) { e.decisions = append(e.decisions, d) }, func() { e.abandoned++ }))
+}
+
+// step runs one tick after some time.
+func (e *testEntry) step(d time.Duration, inputs ...Input) {
+	e.now = e.now.Add(d)
+	e.world.Step(e.now, inputs)
+}
+
+// last returns the newest decision.
+func (e *testEntry) last() Decision { return e.decisions[len(e.decisions)-1] }
+
+// TestEnds checks what follows when every attempt ends in one way.
+func TestEnds(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		end        End
+		repeatable bool
+		attempts   int
+		sends      int
+		action     Action // of the last decision
+	}{
+		{"answered", EndAnswered, false, 1, 1, ActionSend},
+		{"once, answer lost", EndLost, false, 1, 1, ActionFail},
+		{"once, broken off", EndBroken, false, 3, 1, ActionFail},
+		{"once, not run", EndNotRun, false, 1, 4, ActionRefuse},
+		{"once, unreachable", EndUnreachable, false, 1, 4, ActionRefuse},
+		{"repeatable, answer lost", EndLost, true, 3, 3, ActionFail},
+		{"resumable, broken off", EndBroken, true, 2, 2, ActionFail},
+		{"caller gone", EndGone, true, 3, 1, ActionSend},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newTestEntry(t, 4, nil)
+			e.submit(test.repeatable, test.attempts, NewProgress())
+			for n := 0; n < len(e.decisions) && e.last().Action() == ActionSend && n < 10; n++ {
+				e.step(time.Millisecond, Ended(e.last().Number(), test.end, Load{}))
+			}
+			sends := 0
+			for _, d := range e.decisions {
+				if d.Action() == ActionSend {
+					sends++
+				}
+			}
+			e.c.Assert(sends, qt.Equals, test.sends)
+			e.c.Assert(e.last().Action(), qt.Equals, test.action)
+			e.c.Assert(e.world.Len(), qt.Equals, 0)
+			e.c.Assert(e.report.Running(), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestChoice checks that requests go where slots are free, counting what the
+// other entries run.
+func TestChoice(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		loads cluster.Loads
+		want  string
+	}{
+		{"others fill one", cluster.Loads{"b0": usage.NewLoad(8, 0)}, "b1"},
+		{"batch fills one", cluster.Loads{"b0": usage.NewLoad(1, 7)}, "b1"},
+		{"batch gives way", cluster.Loads{"b0": usage.NewLoad(4, 4), "b1": usage.NewLoad(8, 0)}, "b0"},
+		{"both full, the shorter queue", cluster.Loads{"b0": usage.NewLoad(12, 0), "b1": usage.NewLoad(9, 0)}, "b1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for range 20 {
+				e := newTestEntry(t, 2, test.loads)
+				e.submit(false, 1, NewProgress())
+				e.c.Assert(e.last().Backend().ID(), qt.Equals, test.want)
+			}
+		})
+	}
+}
+
+// TestSilence checks that a server without any progress gets no further
+// requests, and that only what may be repeated is taken away from it.
+func TestSilence(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+		attempts   int
+		abandoned  int
+	}{
+		{"once", false, 1, 0},
+		{"repeatable", true, 2, 1},
+		{"repeatable, last attempt", true, 1, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newTestEntry(t, 2, nil)
+			e.submit(test.repeatable, test.attempts, NewProgress())
+			silent := e.last().Backend().ID()
+			for range 20 {
+				e.step(watchEvery)
+			}
+			e.c.Assert(e.abandoned, qt.Equals, test.abandoned)
+			for range 10 {
+				progress := NewProgress()
+				e.submit(false, 1, progress)
+				progress.Note(e.now)
+				e.c.Assert(e.last().Backend().ID() == silent, qt.IsFalse)
+			}
+		})
+	}
+}
+
+// TestDarkZone checks that another data centre is left out once several of its
+// servers are silent.
+func TestDarkZone(t *testing.T) {
+	e := newTestEntry(t, 8, cluster.Loads{"b0": usage.NewLoad(8, 0), "b2": usage.NewLoad(8, 0), "b4": usage.NewLoad(8, 0), "b6": usage.NewLoad(8, 0)})
+	for range 4 {
+		e.submit(false, 1, NewProgress())
+	}
+	e.snapshot = newTestEntry(t, 8, nil).snapshot
+	for range 10 {
+		e.step(watchEvery)
+	}
+	for range 10 {
+		progress := NewProgress()
+		e.submit(false, 1, progress)
+		progress.Note(e.now)
+		e.c.Assert(e.last().Backend().DataCentre(), qt.Equals, "z0")
+	}
+}
--- a/core/entry/input.go
+++ b/core/entry/input.go
@@ -2,17 +2,22 @@
 
 // Input is one message to the world.
 type Input struct {
-	request *Request
-	decide  func(Decision)
-	number  uint64
-	end     End
-	load    Load
-	head    bool
+	request  *Request
+	decide   func(Decision)
+	progress *Progress
+	abandon  func()
+	number   uint64
+	end      End
+	load     Load
+	head     bool
 }
 
 // Submit starts a request. decide is called on the traffic thread with each
 // next step and must not block; every ActionSend must be answered by Ended.
-func Submit(r Request, decide func(Decision)) Input { return Input{request: &r, decide: decide} }
+// abandon, called there too, must end the current attempt.
+func Submit(r Request, progress *Progress, decide func(Decision), abandon func()) Input {
+	return Input{request: &r, progress: progress, decide: decide, abandon: abandon}
+}
 
 // Answering tells that the head of the server's answer arrived.
 func Answering(number uint64, load Load) Input {
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"papayaquay/core/member"
@@ -35,6 +36,23 @@
 // Service returns the service to run it.
 func (r Request) Service() string { return r.service }
 
+// Progress tells the traffic thread when the last bytes of an answer came. Any
+// goroutine may use it.
+type Progress struct {
+	at atomic.Int64 // Unix nanoseconds
+}
+
+// NewProgress returns a progress without bytes.
+func NewProgress() *Progress { return &Progress{} }
+
+// Note tells that bytes arrived.
+func (p *Progress) Note(now time.Time) { p.at.Store(now.UnixNano()) }
+
+// since returns how long nothing came, counted from start at the earliest.
+func (p *Progress) since(now, start time.Time) time.Duration {
+	return min(now.Sub(start), time.Duration(now.UnixNano()-p.at.Load()))
+}
+
 // Action is what to do with a request.
 type Action uint8
 
@@ -111,12 +129,15 @@
 
 // requestRow is a request under way.
 type requestRow struct {
-	request Request
-	decide  func(Decision)
-	tried   []string // servers that refused or lost it
-	runs    int      // attempts that may have run
-	backend string   // of the current attempt
-	sentAt  time.Time
+	request  Request
+	decide   func(Decision)
+	progress *Progress
+	abandon  func()   // ends the current attempt
+	tried    []string // servers that refused or lost it
+	runs     int      // attempts that may have run
+	backend  string   // of the current attempt
+	sentAt   time.Time
+	left     bool // the attempt was abandoned
 }
 
 // serverRow is what this entry knows of a backend server by its own requests.
@@ -126,4 +147,7 @@
 	loadAt   time.Time
 	failures int // in a row
 	paused   time.Time
+	quiet    time.Duration // since bytes came from it, as of the last look
+	silent   bool          // no attempt there makes progress
+	zone     string
 }
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -45,9 +45,7 @@
 		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) {
 			continue
 		}
-		state := w.servers.Get(id)
-		paused := state != nil && now.Before(state.paused)
-		if desperate || (!paused && !s.Silent()) {
+		if desperate || (!w.avoided(now, id, s.Backend().DataCentre()) && !s.Silent()) {
 			servers = append(servers, s)
 		}
 	}
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -37,6 +37,7 @@
 		}
 	}
 	row.tried = append(row.tried, row.backend)
+	row.backend = ""
 	w.next(now, input.number, row)
 }
 
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -17,6 +17,10 @@
 	failurePause = 200 * time.Millisecond // doubled with each failure in a row
 	maxPause     = 5 * time.Second
 	loadFresh    = 150 * time.Millisecond // age at which a server's own report is void
+
+	silentAfter  = 350 * time.Millisecond // without bytes before a server is left out
+	abandonAfter = 600 * time.Millisecond // without bytes before a repeatable attempt is given up
+	watchEvery   = 50 * time.Millisecond
 )
 
 // World holds the online requests of one traffic thread.
@@ -31,6 +35,8 @@
 	servers  *table.Table[string, serverRow]
 	last     uint64
 	changed  bool // counts of requests in flight changed in this tick
+	watchDue time.Time
+	dark     map[string]int // silent servers by data centre
 }
 
 // Option changes a world at construction.
@@ -53,7 +59,7 @@
 	w := &World{
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, zone: dataCentre,
-		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](),
+		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), dark: make(map[string]int),
 	}
 	for _, option := range options {
 		option(w)
@@ -67,20 +73,21 @@
 	for _, input := range inputs {
 		switch {
 		case input.request != nil:
-			w.admit(now, *input.request, input.decide)
+			w.admit(now, input)
 		case input.head:
 			w.note(now, input.number, input.load)
 		case input.end != 0:
 			w.ended(now, input)
 		}
 	}
+	w.watch(now)
 	if w.changed {
 		w.report(w.running())
 	}
 }
 
-// Next returns no deadline: the goroutines that serve callers watch the time.
-func (w *World) Next() (time.Time, bool) { return time.Time{}, false }
+// Next returns when attempts are looked at again.
+func (w *World) Next() (time.Time, bool) { return w.watchDue, w.requests.Len() > 0 }
 
 // Len returns the number of requests under way.
 func (w *World) Len() int { return w.requests.Len() }
@@ -97,9 +104,9 @@
 }
 
 // admit takes a new request.
-func (w *World) admit(now time.Time, r Request, decide func(Decision)) {
+func (w *World) admit(now time.Time, input Input) {
 	w.last++
-	row := w.requests.Put(w.last, requestRow{request: r, decide: decide})
+	row := w.requests.Put(w.last, requestRow{request: *input.request, decide: input.decide, progress: input.progress, abandon: input.abandon})
 	w.next(now, w.last, row)
 }
 
@@ -125,8 +132,9 @@
 	backend := choice.backend
 	server := w.server(backend.ID())
 	server.inFlight++
+	server.zone = backend.DataCentre()
 	w.changed = true
-	row.backend, row.sentAt = backend.ID(), now
+	row.backend, row.sentAt, row.left = backend.ID(), now, false
 	event.RequestSent.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "attempt", len(row.tried)+1,
 		"in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates)
 	row.decide(Decision{action: ActionSend, number: number, backend: backend})
--- a/core/member/backend.go
+++ b/core/member/backend.go
@@ -120,6 +120,12 @@
 // Runs reports whether the server can run a service.
 func (b Backend) Runs(service string) bool { return slices.Contains(b.services, service) }
 
+// WithIncarnation returns the same view of another start.
+func (b Backend) WithIncarnation(incarnation uint64) Backend {
+	b.incarnation = incarnation
+	return b
+}
+
 // WithoutWork returns the view of a server that takes no new work in this
 // incarnation.
 func (b Backend) WithoutWork() Backend {
--- /dev/null
+++ b/core/runner/runner_test.go
@@ -0,0 +1,181 @@
+package runner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/directory"
+	"papayaquay/core/member"
+	"papayaquay/core/routing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// testRun is a runner with one job and what it started and stopped.
+type testRun struct {
+	c       *qt.C
+	now     time.Time
+	world   *World
+	state   *batch.State
+	online  map[string]int
+	started []Attempt
+	stopped []uint64
+}
+
+// newTestRun returns a runner that leads, with servers of four slots.
+func newTestRun(t testing.TB, items, servers int) *testRun {
+	r := &testRun{c: qt.New(t), now: time.Unix(1000, 0), state: batch.New(), online: make(map[string]int)}
+	r.world = New(WithAttempts(func(a Attempt) { r.started = append(r.started, a) },
+		func(number uint64) { r.stopped = append(r.stopped, number) }),
+		WithOnline(func(backend string) int { return r.online[backend] }))
+	route := routing.NewRoute("r", "h", "/p/", routing.KindBatch, time.Second, routing.WithTargets(routing.NewTarget("s", 1)))
+	config, err := routing.New(1, []routing.Route{route}, []routing.Service{routing.NewService("s", "", 0, 4)}, routing.Limits{})
+	r.c.Assert(err, qt.IsNil)
+	var list []directory.Server
+	d := directory.New(1)
+	for i := range servers {
+		d.Announce(r.now, member.NewBackend(fmt.Sprintf("b%d", i), fmt.Sprintf("b%d:1", i), "z", member.ProtocolEngine, 4, 1, 1, member.WithServices("s")))
+	}
+	list = d.Servers(r.now)
+	r.world.View(config, list)
+	r.world.Lead(true, r.state)
+	r.submit("job", items, 18*time.Second)
+	return r
+}
+
+// submit accepts a job.
+func (r *testRun) submit(id string, items int, due time.Duration) {
+	var list []batch.Item
+	for i := range items {
+		list = append(list, batch.NewItem(fmt.Sprint(id, i), "/p/x", nil, nil, 1))
+	}
+	r.state.Apply(batch.Submit(batch.NewOrder(id, "r", "h", list, batch.WithTimes(r.now, r.now.Add(due), r.now.Add(time.Minute)), batch.WithBounds(0, 3))))
+	j, _ := r.state.Job(id)
+	r.world.Accept(j)
+}
+
+// tick runs the systems after some time.
+func (r *testRun) tick(d time.Duration) {
+	r.now = r.now.Add(d)
+	r.world.Run(r.now)
+}
+
+// end ends an attempt.
+func (r *testRun) end(a Attempt, end End, text string, last uint64) {
+	r.world.Take(r.now, NewOutcome(a.Number(), end, []byte(text), last))
+}
+
+// TestReserve checks that batch leaves slots free and takes what online
+// requests leave.
+func TestReserve(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		online  int
+		running int
+	}{
+		{"idle server", 0, 4 - DefaultReserve},
+		{"half full", 2, 2 - DefaultReserve},
+		{"full", 4, 0},
+		{"over its slots", 6, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRun(t, 10, 1)
+			r.online["b0"] = test.online
+			r.tick(0)
+			r.c.Assert(r.started, qt.HasLen, test.running)
+		})
+	}
+}
+
+// TestYield checks that items give way at once and go on after their last
+// event, with the whole text.
+func TestYield(t *testing.T) {
+	r := newTestRun(t, 3, 2)
+	r.tick(0)
+	r.c.Assert(r.started, qt.HasLen, 3)
+	busy := r.started[0].Backend().ID()
+	r.online[busy] = 4
+	for range 3 {
+		r.tick(time.Millisecond)
+		for _, number := range r.stopped {
+			for _, a := range r.started {
+				if a.Number() == number {
+					r.end(a, EndStopped, "one\ntwo", 2)
+				}
+			}
+		}
+		r.stopped = nil
+	}
+	r.c.Assert(r.world.Batch(busy), qt.Equals, 0)
+	r.tick(time.Second)
+	last := r.started[len(r.started)-1]
+	r.c.Assert(last.Last(), qt.Equals, uint64(2))
+	r.c.Assert(last.Backend().ID() == busy, qt.IsFalse)
+	r.end(last, EndDone, "three", 3)
+	finishes := r.world.Output()
+	r.c.Assert(finishes, qt.HasLen, 1)
+	r.c.Assert(string(finishes[0].Result().Text()), qt.Equals, "one\ntwo\nthree")
+}
+
+// TestEnds checks what becomes of an item whose attempts all end in one way.
+func TestEnds(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		end      End
+		attempts int // until there is a result; 0 when there is none
+		verdict  batch.Verdict
+	}{
+		{"done", EndDone, 1, batch.VerdictDone},
+		{"impossible", EndImpossible, 1, batch.VerdictDead},
+		{"failed as often as allowed", EndFailed, 3, batch.VerdictDead},
+		{"broken", EndBroken, 0, 0},
+		{"not run", EndNotRun, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRun(t, 1, 1)
+			var finishes []batch.Finish
+			for n := 0; n < 5 && len(finishes) == 0; n++ {
+				r.tick(6 * time.Second)
+				r.c.Assert(r.started, qt.HasLen, n+1)
+				r.end(r.started[n], test.end, "", 0)
+				finishes = r.world.Output()
+			}
+			if test.attempts == 0 {
+				r.c.Assert(finishes, qt.HasLen, 0)
+				return
+			}
+			r.c.Assert(r.started, qt.HasLen, test.attempts)
+			r.c.Assert(finishes[0].Result().Verdict(), qt.Equals, test.verdict)
+		})
+	}
+}
+
+// TestOrder checks that jobs that are due first run first and that late ones
+// come after those that can still be in time.
+func TestOrder(t *testing.T) {
+	r := newTestRun(t, 1, 1)
+	r.submit("sooner", 1, 9*time.Second)
+	r.submit("latest", 1, 30*time.Second)
+	r.tick(10 * time.Second)
+	var order []string
+	for _, a := range r.started {
+		order = append(order, a.Job())
+	}
+	r.c.Assert(order, qt.DeepEquals, []string{"job", "latest", "sooner"})
+}
+
+// TestDrop checks that the items of an ended job stop and never start again.
+func TestDrop(t *testing.T) {
+	r := newTestRun(t, 6, 1)
+	r.tick(0)
+	r.state.Apply(batch.End("job"))
+	r.world.Drop("job")
+	r.c.Assert(r.stopped, qt.HasLen, 3)
+	for _, a := range r.started {
+		r.end(a, EndStopped, "x", 1)
+	}
+	r.tick(time.Second)
+	r.c.Assert(r.started, qt.HasLen, 3)
+}
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"papayaquay/core/entry"
 	"papayaquay/io/forward"
@@ -46,20 +47,68 @@
 // request as Final says. The context ends when the caller must have an answer.
 func (p *Process) Pass(ctx context.Context, w http.ResponseWriter, passage Passage) (final Final, ok bool) {
 	decisions := make(chan entry.Decision, 1)
-	p.traffic.Post(entry.Submit(passage.request, func(d entry.Decision) { decisions <- d }))
-	relay := p.forward.NewRelay(passage.forward, w, passage.resumable)
+	progress := entry.NewProgress()
+	var current attempt
+	p.traffic.Post(entry.Submit(passage.request, progress, func(d entry.Decision) { decisions <- d }, current.abandon))
+	relay := p.forward.NewRelay(passage.forward, w, passage.resumable, progress)
 	for {
 		d := <-decisions
 		if d.Action() != entry.ActionSend {
 			return Final{action: d.Action(), retry: d, started: relay.Started()}, false
 		}
-		end, load := relay.Try(ctx, d.Backend(), func(l entry.Load) { p.traffic.Post(entry.Answering(d.Number(), l)) })
+		try, cancel := current.begin(ctx)
+		end, load := relay.Try(try, d.Backend(), func(l entry.Load) { p.traffic.Post(entry.Answering(d.Number(), l)) })
+		if end == entry.EndGone && try.Err() != nil && ctx.Err() == nil {
+			end = abandonedEnd(relay)
+		}
+		cancel()
 		p.traffic.Post(entry.Ended(d.Number(), end, load))
 		switch end {
 		case entry.EndAnswered:
 			return Final{}, true
 		case entry.EndGone:
-			return Final{action: entry.ActionFail, started: relay.Started(), gone: true}, false
+			return gone(relay), false
 		}
 	}
 }
+
+// abandonedEnd returns how an attempt ended that was given up from this side.
+func abandonedEnd(relay *forward.Relay) entry.End {
+	if relay.Started() {
+		return entry.EndBroken
+	}
+	return entry.EndLost
+}
+
+// gone returns the end of a request whose time is over or whose caller left.
+func gone(relay *forward.Relay) Final {
+	f := Final{action: entry.ActionFail, started: relay.Started(), gone: true}
+	if !relay.Ran() {
+		f.action = entry.ActionRefuse
+	}
+	return f
+}
+
+// attempt lets the traffic thread end the attempt under way.
+type attempt struct {
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+// begin opens the context of a new attempt.
+func (a *attempt) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	try, cancel := context.WithCancel(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancel = cancel
+	return try, cancel
+}
+
+// abandon ends the attempt under way.
+func (a *attempt) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancel != nil {
+		a.cancel()
+	}
+}
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -45,21 +45,27 @@
 	resumable bool
 	events    scanner
 	started   bool // the head went to the caller
+	ran       bool // some server may have run the request
+	progress  *entry.Progress
 }
 
 // NewRelay returns a relay to a caller.
-func (c *Client) NewRelay(r Request, out http.ResponseWriter, resumable bool) *Relay {
-	return &Relay{client: c, request: r, out: out, resumable: resumable,
+func (c *Client) NewRelay(r Request, out http.ResponseWriter, resumable bool, progress *entry.Progress) *Relay {
+	return &Relay{client: c, request: r, out: out, resumable: resumable, progress: progress,
 		flush: http.NewResponseController(out).Flush}
 }
 
 // Started reports whether a part of an answer went to the caller.
 func (r *Relay) Started() bool { return r.started }
 
+// Ran reports whether some server may have run the request.
+func (r *Relay) Ran() bool { return r.ran }
+
 // Try sends the request to one server and copies its answer. heard is called
 // when the head arrived.
 func (r *Relay) Try(ctx context.Context, b member.Backend, heard func(entry.Load)) (entry.End, entry.Load) {
 	a, sent := r.client.send(ctx, r.request, b, r.events.last)
+	r.ran = r.ran || (sent && (a == nil || !a.head.notRun))
 	switch {
 	case a == nil && ctx.Err() != nil:
 		return entry.EndGone, entry.Load{}
@@ -77,6 +83,7 @@
 	case !a.head.mine || (r.started && a.response.StatusCode != http.StatusOK):
 		return entry.EndLost, load
 	}
+	r.progress.Note(r.client.now())
 	heard(load)
 	return r.copy(ctx, a), load
 }
@@ -112,6 +119,7 @@
 	defer buffers.Put(buffer)
 	for {
 		n, err := a.response.Body.Read(buffer[:])
+		r.progress.Note(r.client.now())
 		chunk := buffer[:n]
 		if resumable {
 			chunk = r.events.feed(chunk)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -14,9 +14,9 @@
 
 // Sender limits.
 const (
-	dialTimeout  = time.Second
+	dialTimeout  = 500 * time.Millisecond
 	writeTimeout = 2 * time.Second
-	dialPause    = 200 * time.Millisecond // between attempts to reach an instance
+	dialPause    = 100 * time.Millisecond // between attempts to reach an instance
 	queueLength  = 1024                   // packets that wait for one instance
 	closeIdle    = 90 * time.Second       // without a packet
 
