A resumable answer's head waits for its first event

Ruled out: a wrong resume position (no event had come). Change: the head goes out with the first whole event; a break before it leaves the answer to another server from its head on. Test: TestRelay/broken_before_an_event,_resumable, seen failing before.

--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -110,11 +110,15 @@
 }
 
 // copy passes the body on as it arrives. Of a resumable stream only whole
-// events are passed, so that another server can go on.
+// events are passed, so that another server can go on. Its head waits for the
+// first event: a server that breaks off before leaves nothing to go on from,
+// and the answer is then another one's from its head on.
 func (r *Relay) copy(ctx context.Context, a *answer) entry.End {
-	r.begin(a)
 	resumable := r.resumable && a.response.StatusCode == http.StatusOK
 	r.events.pending = nil
+	if !resumable {
+		r.begin(a)
+	}
 	buffer := buffers.Get().(*[copyBytes]byte)
 	defer buffers.Put(buffer)
 	for {
@@ -126,6 +130,7 @@
 			r.events.each(chunk, func(uint64, []byte) {})
 		}
 		if len(chunk) > 0 {
+			r.begin(a)
 			if _, failed := r.out.Write(chunk); failed != nil {
 				return entry.EndGone
 			}
@@ -135,9 +140,11 @@
 		}
 		switch {
 		case err == io.EOF:
-			return r.finish(resumable)
+			return r.finish(a, resumable)
 		case err != nil && ctx.Err() != nil:
 			return entry.EndGone
+		case err != nil && !r.started:
+			return entry.EndLost
 		case err != nil:
 			return entry.EndBroken
 		}
@@ -145,7 +152,8 @@
 }
 
 // finish passes on what follows the last whole event of a complete answer.
-func (r *Relay) finish(resumable bool) entry.End {
+func (r *Relay) finish(a *answer, resumable bool) entry.End {
+	r.begin(a)
 	if !resumable || len(r.events.pending) == 0 {
 		return entry.EndAnswered
 	}
