--- a/core/batch/command.go
+++ b/core/batch/command.go
@@ -24,18 +24,36 @@
 	AnswerUnknown        // there is no such job
 )
 
-// Finish is the result of one item of a job.
+// Finish is the result of one item of a job, or a part of its output that is
+// kept so that another instance can go on from there.
 type Finish struct {
 	job    string
 	result Result
+	from   uint64
+	last   uint64
 }
 
-// NewFinish returns a finish.
-func NewFinish(job string, result Result) Finish { return Finish{job: job, result: result} }
+// NewFinish returns the result of an item; its text follows the stored output
+// up to the event from.
+func NewFinish(job string, result Result, from uint64) Finish {
+	return Finish{job: job, result: result, from: from}
+}
+
+// NewPart returns the output of an item after the event from up to the event
+// last.
+func NewPart(job string, item int, text []byte, from, last uint64) Finish {
+	return Finish{job: job, result: Result{item: item, text: text}, from: from, last: last}
+}
 
 // Job returns the job's id.
 func (f Finish) Job() string { return f.job }
 
+// From returns the event that the text follows, 0 for the start.
+func (f Finish) From() uint64 { return f.from }
+
+// Last returns the last event of a part; 0 for a result.
+func (f Finish) Last() uint64 { return f.last }
+
 // Result returns the result.
 func (f Finish) Result() Result { return f.result }
 
@@ -51,7 +69,7 @@
 // Submit returns the command that accepts a job.
 func Submit(o Order) Command { return Command{kind: CommandSubmit, order: o} }
 
-// Complete returns the command that stores results.
+// Complete returns the command that stores results and parts of output.
 func Complete(finishes []Finish) Command { return Command{kind: CommandFinish, finishes: finishes} }
 
 // End returns the command that stops a job.
--- a/core/batch/state.go
+++ b/core/batch/state.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"time"
 
 	"papayaquay/core/table"
@@ -12,11 +13,40 @@
 	ended   bool
 	results []Result
 	states  []Verdict // by item; 0 while the item waits
+	parts   map[int]Part
+}
+
+// Part is the output of a waiting item up to an event.
+type Part struct {
+	text []byte
+	last uint64
+}
+
+// RestorePart returns a part from a snapshot.
+func RestorePart(text []byte, last uint64) Part { return Part{text: text, last: last} }
+
+// Text returns the output.
+func (p Part) Text() []byte { return p.text }
+
+// Last returns the id of its last event, 0 for none.
+func (p Part) Last() uint64 { return p.last }
+
+// join returns the output with more of it behind.
+func (p Part) join(text []byte) []byte {
+	if p.last == 0 {
+		return text
+	}
+	joined := make([]byte, 0, len(p.text)+1+len(text))
+	joined = append(joined, p.text...)
+	if len(text) == 0 {
+		return joined
+	}
+	return append(append(joined, '\n'), text...)
 }
 
 // RestoreJob returns a job from a snapshot.
-func RestoreJob(order Order, ended bool, results []Result) Job {
-	j := Job{order: order, ended: ended, results: results, states: make([]Verdict, len(order.items))}
+func RestoreJob(order Order, ended bool, results []Result, parts map[int]Part) Job {
+	j := Job{order: order, ended: ended, results: results, states: make([]Verdict, len(order.items)), parts: parts}
 	for _, r := range results {
 		j.states[r.item] = r.verdict
 	}
@@ -36,6 +66,12 @@
 // Open reports whether items still wait to be run.
 func (j Job) Open() bool { return !j.ended && len(j.results) < len(j.order.items) }
 
+// Part returns the stored output of a waiting item.
+func (j Job) Part(item int) Part { return j.parts[item] }
+
+// Parts returns the stored output of waiting items.
+func (j Job) Parts() map[int]Part { return j.parts }
+
 // Waits reports whether an item has no result.
 func (j Job) Waits(item int) bool { return j.states[item] == 0 }
 
@@ -100,6 +136,7 @@
 		j := *row
 		j.order.items = append([]Item(nil), j.order.items...)
 		j.states = nil
+		j.parts = maps.Clone(j.parts)
 		jobs = append(jobs, j)
 	})
 	return jobs
@@ -154,18 +191,35 @@
 	return AnswerDone
 }
 
-// finish stores the first result of an item.
+// finish stores the first result of an item, or a part of its output. What
+// does not follow the stored output comes of a leader that was replaced.
 func (s *State) finish(f Finish) {
 	row := s.jobs.Get(f.job)
-	if row == nil || f.result.item >= len(row.states) || row.states[f.result.item] != 0 {
+	item := f.result.item
+	if row == nil || item < 0 || item >= len(row.states) || row.states[item] != 0 {
+		return
+	}
+	stored := row.parts[item]
+	if f.from != stored.last && f.result.verdict != VerdictDead {
+		return
+	}
+	if f.result.verdict == 0 {
+		if row.parts == nil {
+			row.parts = make(map[int]Part)
+		}
+		row.parts[item] = Part{text: stored.join(f.result.text), last: f.last}
 		return
 	}
 	if !row.ended {
-		s.waiting[row.order.route] -= row.order.items[f.result.item].tokens
+		s.waiting[row.order.route] -= row.order.items[item].tokens
+	}
+	if f.result.verdict == VerdictDone {
+		f.result.text = stored.join(f.result.text)
 	}
-	row.states[f.result.item] = f.result.verdict
+	delete(row.parts, item)
+	row.states[item] = f.result.verdict
 	row.results = append(row.results[:len(row.results):len(row.results)], f.result)
-	row.order.items[f.result.item].body = nil
+	row.order.items[item].body = nil
 }
 
 // end stops a job.
@@ -176,7 +230,7 @@
 	}
 	if !row.ended {
 		s.waiting[row.order.route] -= row.waitingTokens()
-		row.ended = true
+		row.ended, row.parts = true, nil
 	}
 	return AnswerDone
 }
--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -57,7 +57,7 @@
 	}
 	h.usage.Run(now)
 	leads := w.ledgers.Leads(now, JobsLedger)
-	h.runner.Lead(leads, h.state)
+	h.runner.Lead(now, leads, h.state)
 	if !leads {
 		return
 	}
--- a/core/ledger/system_elect.go
+++ b/core/ledger/system_elect.go
@@ -70,7 +70,7 @@
 	row.role = RoleLeader
 	row.leader, row.leaderInstance = row.self, w.instance
 	row.force = false
-	row.rounds, row.leaseUntil = nil, now
+	row.rounds, row.leaseUntil, row.asked = nil, now, true
 	w.progress.Each(func(key progressKey, _ *progressRow) {
 		if key.ledger == row.id {
 			w.progress.Remove(key)
--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -48,11 +48,12 @@
 	EndImpossible                // the server says that it can never be done
 	EndBroken                    // the answer broke off
 	EndStopped                   // stopped from this side
+	EndPart                      // the attempt goes on, a part of its output is there
 )
 
 // String returns the end's name for logs.
 func (e End) String() string {
-	names := [...]string{"unknown", "done", "not run", "failed", "impossible", "broken", "stopped"}
+	names := [...]string{"unknown", "done", "not run", "failed", "impossible", "broken", "stopped", "part"}
 	if int(e) >= len(names) {
 		return names[0]
 	}
@@ -65,7 +66,6 @@
 	end    End
 	text   []byte
 	last   uint64
-	load   int
 }
 
 // NewOutcome returns an outcome; text holds the events after the attempt's
@@ -96,10 +96,12 @@
 	missing  time.Time
 }
 
-// progressRow is what earlier attempts of an item led to.
+// progressRow is what earlier attempts of an item led to. The output up to the
+// event saved is in the ledger; text follows it.
 type progressRow struct {
 	text     []byte
 	last     uint64
+	saved    uint64
 	failures int
 	notUntil time.Time
 }
@@ -110,6 +112,7 @@
 	backend  string
 	started  time.Time
 	stopping bool
+	last     uint64 // event after which it goes on
 }
 
 // pauseRow keeps items away from a server.
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -9,45 +9,57 @@
 	"papayaquay/core/event"
 )
 
-// yield stops items on servers that have more work than slots; the newest
-// attempt has the least to lose.
+// yield stops items on servers that have more work than slots.
 func (w *World) yield(now time.Time) {
 	for _, s := range w.servers {
 		id := s.Backend().ID()
 		excess := w.online(id) + w.counts[id] - s.Backend().Slots()
 		for ; excess > 0; excess-- {
-			if !w.stopNewest(now, id) {
+			if !w.stopOne(now, id) {
 				break
 			}
 		}
 	}
 }
 
-// stopNewest stops the newest attempt on a server that is not stopping yet,
-// and reports whether an attempt counts as stopping for this excess.
-func (w *World) stopNewest(now time.Time, backend string) bool {
-	newest := uint64(0)
-	stopping := 0
+// stopOne stops the attempt on a server that can best wait: one that is late
+// anyway, else the one that is due last. It reports false when there is none
+// or one is stopping already.
+func (w *World) stopOne(now time.Time, backend string) bool {
+	victim, stopping := uint64(0), false
+	var best *runningRow
 	w.running.Each(func(number uint64, row *runningRow) {
 		if row.backend != backend {
 			return
 		}
-		if row.stopping {
-			stopping++
-		} else if number > newest {
-			newest = number
+		stopping = stopping || row.stopping
+		if best == nil || w.canWait(now, row, best) {
+			victim, best = number, row
 		}
 	})
-	if newest == 0 || stopping > 0 {
+	if best == nil || stopping {
 		return false
 	}
-	row := w.running.Get(newest)
+	row := best
 	event.ItemYielded.Log(w.logger, "job", row.key.job, "item", row.key.item, "backend", backend,
 		"online", w.online(backend), "batch", w.counts[backend], "ran_ms", now.Sub(row.started).Milliseconds())
-	w.halt(newest, row)
+	w.halt(victim, row)
 	return true
 }
 
+// canWait reports whether an attempt can rather wait than another one.
+func (w *World) canWait(now time.Time, row, other *runningRow) bool {
+	job, otherJob := w.jobs.Get(row.key.job), w.jobs.Get(other.key.job)
+	if job == nil || otherJob == nil {
+		return job == nil
+	}
+	late, otherLate := w.pace.late(now, job.due, row.last), w.pace.late(now, otherJob.due, other.last)
+	if late != otherLate {
+		return late
+	}
+	return job.due.After(otherJob.due)
+}
+
 // expire gives up the items of jobs that may be given up.
 func (w *World) expire(now time.Time) {
 	if now.Before(w.expireAt) {
@@ -70,14 +82,14 @@
 	event.JobGivenUp.Log(w.logger, "job", id, "reason", reason)
 	for i := range j.Order().Items() {
 		if j.Waits(i) {
-			w.finishes = append(w.finishes, batch.NewFinish(id, batch.NewResult(i, batch.VerdictDead, nil)))
+			w.finishes = append(w.finishes, batch.NewFinish(id, batch.NewResult(i, batch.VerdictDead, nil), 0))
 		}
 	}
 	w.Drop(id)
 }
 
 // fill starts items in free slots, jobs that are due first coming first. Jobs
-// that are late already come after those that can still be in time.
+// that can no longer be in time come after the others.
 func (w *World) fill(now time.Time) {
 	w.sort(now)
 	free := w.freeSlots(now)
@@ -96,7 +108,7 @@
 
 // sort orders the jobs by due time, late ones last.
 func (w *World) sort(now time.Time) {
-	late := func(id string) bool { return now.After(w.jobs.Get(id).due) }
+	late := func(id string) bool { return w.pace.late(now, w.jobs.Get(id).due, 0) }
 	slices.SortStableFunc(w.order, func(a, b string) int {
 		if late(a) != late(b) {
 			if late(a) {
@@ -178,7 +190,7 @@
 		last = p.last
 	}
 	w.last++
-	w.running.Put(w.last, runningRow{key: key, backend: backend.ID(), started: now})
+	w.running.Put(w.last, runningRow{key: key, backend: backend.ID(), started: now, last: last})
 	w.counts[backend.ID()]++
 	w.start(Attempt{number: w.last, job: o.ID(), host: o.Host(), item: item, backend: backend, last: last})
 	return true
--- a/core/runner/system_take.go
+++ b/core/runner/system_take.go
@@ -14,6 +14,12 @@
 		return
 	}
 	key, backend := row.key, row.backend
+	if o.end == EndPart {
+		if w.leading && w.jobs.Get(key.job) != nil {
+			w.keep(key, o)
+		}
+		return
+	}
 	w.running.Remove(o.number)
 	if w.counts[backend]--; w.counts[backend] <= 0 {
 		delete(w.counts, backend)
@@ -21,6 +27,7 @@
 	event.ItemEnded.Log(w.logger, "job", key.job, "item", key.item, "backend", backend, "end", o.end.String(),
 		"ran_ms", now.Sub(row.started).Milliseconds(), "last_event", o.last)
 	w.judge(now, backend, o.end)
+	w.pace.note(now.Sub(row.started), o.last-min(row.last, o.last), o.last, o.end == EndDone)
 	if job := w.jobs.Get(key.job); w.leading && job != nil {
 		w.settle(now, key, job, o)
 	}
@@ -43,30 +50,45 @@
 	}
 }
 
-// settle stores the item's result or lets it start again.
-func (w *World) settle(now time.Time, key itemKey, job *jobRow, o Outcome) {
-	p := w.progress.Get(key)
-	if p == nil {
-		p = w.progress.Put(key, progressRow{})
+// progressOf returns the row of an item.
+func (w *World) progressOf(key itemKey) *progressRow {
+	if p := w.progress.Get(key); p != nil {
+		return p
 	}
+	return w.progress.Put(key, progressRow{})
+}
+
+// keep adds new output of an item and stores it when there is enough.
+func (w *World) keep(key itemKey, o Outcome) *progressRow {
+	p := w.progressOf(key)
 	if o.last > p.last {
-		if p.last > 0 {
+		if p.last > p.saved {
 			p.text = append(p.text, '\n')
 		}
 		p.text, p.last = append(p.text, o.text...), o.last
 	}
+	if p.last >= p.saved+saveEvents && o.end != EndDone {
+		w.finishes = append(w.finishes, batch.NewPart(key.job, key.item, p.text, p.saved, p.last))
+		p.text, p.saved = nil, p.last
+	}
+	return p
+}
+
+// settle stores the item's result or lets it start again.
+func (w *World) settle(now time.Time, key itemKey, job *jobRow, o Outcome) {
+	p := w.keep(key, o)
 	switch o.end {
 	case EndDone:
-		w.finish(key, batch.VerdictDone, p.text)
+		w.finish(key, batch.NewResult(key.item, batch.VerdictDone, p.text), p.saved)
 		return
 	case EndImpossible:
-		w.finish(key, batch.VerdictDead, nil)
+		w.finish(key, batch.NewResult(key.item, batch.VerdictDead, nil), p.saved)
 		return
 	case EndFailed:
 		p.failures++
 		p.notUntil = now.Add(failurePause)
 		if p.failures >= job.attempts {
-			w.finish(key, batch.VerdictDead, nil)
+			w.finish(key, batch.NewResult(key.item, batch.VerdictDead, nil), p.saved)
 			return
 		}
 	}
@@ -74,9 +96,9 @@
 }
 
 // finish hands out the result of an item.
-func (w *World) finish(key itemKey, verdict batch.Verdict, text []byte) {
+func (w *World) finish(key itemKey, result batch.Result, from uint64) {
 	w.progress.Remove(key)
-	w.finishes = append(w.finishes, batch.NewFinish(key.job, batch.NewResult(key.item, verdict, text)))
+	w.finishes = append(w.finishes, batch.NewFinish(key.job, result, from))
 }
 
 // Settled drops a job whose items all have results.
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -55,7 +55,10 @@
 			header.Set(h.Name(), h.Value())
 		}
 		request := forward.NewRequest(item.ID(), http.MethodPost, item.Path(), a.Host(), header, item.Body(), time.Time{})
-		end, text, last := p.forward.Collect(ctx, request, a.Backend(), a.Last())
-		p.inbox.Post(cluster.ItemEnded(runner.NewOutcome(a.Number(), end, text, last)))
+		tell := func(end runner.End, text []byte, last uint64) {
+			p.inbox.Post(cluster.ItemEnded(runner.NewOutcome(a.Number(), end, text, last)))
+		}
+		tell(p.forward.Collect(ctx, request, a.Backend(), a.Last(),
+			func(text []byte, last uint64) { tell(runner.EndPart, text, last) }))
 	}()
 }
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -17,6 +17,15 @@
 	"papayaquay/io/settings"
 )
 
+// Timing of ledgers. Links between the data centres of a deployment take about
+// a millisecond, and a capped core stands still for up to a tenth of a second.
+const (
+	ledgerHeartbeat   = 120 * time.Millisecond
+	ledgerElectionMin = 500 * time.Millisecond
+	ledgerElectionMax = 800 * time.Millisecond
+	ledgerLease       = 400 * time.Millisecond
+)
+
 // usageReport is what an entry runs by backend server.
 type usageReport = usage.Report
 
@@ -69,6 +78,7 @@
 		id = cluster.JobsLedger
 	}
 	world := ledger.New(s.PeerAddress(), ledger.WithSeed(uint64(p.start.UnixNano())),
+		ledger.WithTiming(ledgerHeartbeat, ledgerElectionMin, ledgerElectionMax, ledgerLease),
 		ledger.WithVoters(s.Voters(),
 			func(instance string) string { return p.world.Place(instance) },
 			func(instance string) bool { return p.world.Retiring(instance) }))
--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -9,10 +9,14 @@
 	"papayaquay/core/runner"
 )
 
+// partEvents is the number of events after which a part of an output is told.
+const partEvents = 48
+
 // Collect runs a request on one server and collects the data of its events
-// after the one with the id last, separated by line feeds. It returns how that
-// ended, the text and the id of the newest event.
-func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, last uint64) (runner.End, []byte, uint64) {
+// after the one with the id last, separated by line feeds. part is told of
+// output on the way. It returns how that ended, the text after the last part
+// and the id of the newest event.
+func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, last uint64, part func(text []byte, last uint64)) (runner.End, []byte, uint64) {
 	a, sent := c.send(ctx, r, b, last)
 	switch {
 	case a == nil && ctx.Err() != nil:
@@ -36,7 +40,7 @@
 		drain(a.response.Body)
 		return runner.EndFailed, nil, last
 	}
-	text, newest, err := collectEvents(a.response.Body, last)
+	text, newest, err := collectEvents(a.response.Body, last, part)
 	switch {
 	case err == io.EOF:
 		return runner.EndDone, text, newest
@@ -48,8 +52,9 @@
 
 // collectEvents reads events until the body ends; the error is io.EOF when it
 // ended well.
-func collectEvents(body io.Reader, last uint64) ([]byte, uint64, error) {
+func collectEvents(body io.Reader, last uint64, part func(text []byte, last uint64)) ([]byte, uint64, error) {
 	events := scanner{last: last}
+	told := last
 	var text []byte
 	first := true
 	buffer := buffers.Get().(*[copyBytes]byte)
@@ -62,6 +67,10 @@
 			}
 			text, first = append(text, data...), false
 		})
+		if events.last >= told+partEvents {
+			part(text, events.last)
+			text, first, told = nil, true, events.last
+		}
 		if err != nil {
 			if err == io.EOF && len(events.pending) > 0 {
 				err = io.ErrUnexpectedEOF
--- a/io/record/batch.go
+++ b/io/record/batch.go
@@ -80,6 +80,16 @@
 	Item    int
 	Verdict uint8
 	Text    []byte
+	From    uint64
+	Last    uint64
+}
+
+// finish returns the result or part with its job.
+func (r batchResult) finish() batch.Finish {
+	if r.Verdict == 0 {
+		return batch.NewPart(r.Job, r.Item, r.Text, r.From, r.Last)
+	}
+	return batch.NewFinish(r.Job, r.result(), r.From)
 }
 
 // result returns the result.
@@ -105,7 +115,7 @@
 	}
 	for _, f := range c.Finishes() {
 		wire.Finishes = append(wire.Finishes, batchResult{Job: f.Job(), Item: f.Result().Item(),
-			Verdict: uint8(f.Result().Verdict()), Text: f.Result().Text()})
+			Verdict: uint8(f.Result().Verdict()), Text: f.Result().Text(), From: f.From(), Last: f.Last()})
 	}
 	data, err := cbor.Marshal(wire)
 	return data, errors.Wrap(err, "encode batch command")
@@ -126,7 +136,7 @@
 	case batch.CommandFinish:
 		var finishes []batch.Finish
 		for _, f := range wire.Finishes {
-			finishes = append(finishes, batch.NewFinish(f.Job, f.result()))
+			finishes = append(finishes, f.finish())
 		}
 		return batch.Complete(finishes), nil
 	case batch.CommandEnd:
@@ -145,6 +155,7 @@
 	Order   batchOrder
 	Ended   bool
 	Results []batchResult
+	Parts   []batchResult
 }
 
 // batchState is the wire form of a snapshot of the jobs ledger.
@@ -162,6 +173,9 @@
 		for _, r := range j.Results() {
 			job.Results = append(job.Results, batchResult{Item: r.Item(), Verdict: uint8(r.Verdict()), Text: r.Text()})
 		}
+		for item, p := range j.Parts() {
+			job.Parts = append(job.Parts, batchResult{Item: item, Text: p.Text(), Last: p.Last()})
+		}
 		wire.Jobs = append(wire.Jobs, job)
 	}
 	data, err := cbor.Marshal(wire)
@@ -183,7 +197,11 @@
 			}
 			results = append(results, r.result())
 		}
-		jobs = append(jobs, batch.RestoreJob(j.Order.order(), j.Ended, results))
+		parts := make(map[int]batch.Part)
+		for _, p := range j.Parts {
+			parts[p.Item] = batch.RestorePart(p.Text, p.Last)
+		}
+		jobs = append(jobs, batch.RestoreJob(j.Order.order(), j.Ended, results, parts))
 	}
 	return cluster.NewBatchExport(jobs, wire.Retirees), nil
 }
