--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -43,6 +43,7 @@
 	row := best
 	event.ItemYielded.Log(w.logger, "job", row.key.job, "item", row.key.item, "backend", backend,
 		"online", w.online(backend), "batch", w.counts[backend], "ran_ms", now.Sub(row.started).Milliseconds())
+	w.yielded.Put(backend, now)
 	w.halt(victim, row)
 	return true
 }
@@ -128,13 +129,24 @@
 		if p := w.pauses.Get(id); s.Silent() || (p != nil && now.Before(p.until)) {
 			continue
 		}
-		if n := s.Backend().Slots() - w.reserve - w.online(id) - w.counts[id]; n > 0 {
+		reserve, pause := w.caution(now, id)
+		if n := s.Backend().Slots() - reserve - w.online(id) - w.counts[id]; n > 0 && !pause {
 			free[id] = n
 		}
 	}
 	return free
 }
 
+// caution returns the slots to leave free on a server and whether it gets no
+// items at all: right after items gave way there, the next would have to too.
+func (w *World) caution(now time.Time, backend string) (reserve int, pause bool) {
+	at := w.yielded.Get(backend)
+	if at == nil || now.Sub(*at) > yieldCaution {
+		return w.reserve, false
+	}
+	return max(w.reserve, cautiousSlots), now.Sub(*at) < yieldPause
+}
+
 // fillJob starts items of one job as long as there are slots.
 func (w *World) fillJob(now time.Time, id string, row *jobRow, free map[string]int) {
 	j, ok := w.state.Job(id)
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -15,6 +15,7 @@
 // Limits and timing.
 const (
 	DefaultReserve = 0 // slots of each server that batch leaves free
+	cautiousSlots  = 1 // slots left free by a server that took some back lately
 
 	notRunPause   = 150 * time.Millisecond // without items for a server that refused one
 	brokenPause   = 400 * time.Millisecond // doubled with each break in a row
@@ -23,6 +24,8 @@
 	routeGrace    = 5 * time.Second        // without a route before its items are given up
 	expireEvery   = time.Second
 	retryInterval = 100 * time.Millisecond // while items wait for a free slot
+	yieldPause    = 400 * time.Millisecond // without items for a server that took slots back
+	yieldCaution  = 3 * time.Second        // that the server keeps a slot free afterwards
 	leadPause     = 200 * time.Millisecond // for entries to report to a new leader
 	saveEvents    = 24                     // new events of an item that are worth keeping
 )
@@ -46,6 +49,7 @@
 	running  *table.Table[uint64, runningRow]
 	pauses   *table.Table[string, pauseRow]
 	counts   map[string]int // items running on each server
+	yielded  *table.Table[string, time.Time]
 	finishes []batch.Finish
 	last     uint64
 	order    []string // jobs by due time, hopeless ones last
@@ -86,7 +90,8 @@
 		random: func() float64 { return 0 }, online: func(string) int { return 0 },
 		jobs: table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
 		running: table.New[uint64, runningRow](), pauses: table.New[string, pauseRow](),
-		counts: make(map[string]int), pace: newPace(),
+		yielded: table.New[string, time.Time](),
+		counts:  make(map[string]int), pace: newPace(),
 	}
 	for _, option := range options {
 		option(w)
