Attempts that outlive their lead add nothing to an item's output

Ruled out: the order of parts of one attempt (one goroutine tells them in order). Change: each attempt knows the time of leading that started it; of others only the end is counted. Test: TestRegainedLead, seen failing before.

--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -113,6 +113,7 @@
 	started  time.Time
 	stopping bool
 	last     uint64 // event after which it goes on
+	lead     uint64 // the time of leading that started it
 }
 
 // pauseRow keeps items away from a server.
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -152,6 +152,40 @@
 	}
 }
 
+// TestRegainedLead checks that an attempt that outlives the lead that started
+// it adds nothing when the lead comes back: what it told before is not known.
+func TestRegainedLead(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		end  End
+	}{
+		{"stopped", EndStopped},
+		{"done", EndDone},
+		{"part", EndPart},
+		{"failed", EndFailed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRun(t, 1, 1)
+			r.tick(0)
+			old := r.started[0]
+			r.end(old, EndPart, "one", saveEvents-1)
+			r.world.Output()
+			r.world.Lead(r.now, false, r.state)
+			r.world.Lead(r.now, true, r.state)
+			r.tick(leadPause)
+			r.c.Assert(r.started, qt.HasLen, 2)
+			r.end(old, test.end, "two", 2*saveEvents)
+			r.c.Assert(r.world.Output(), qt.HasLen, 0)
+			r.tick(time.Second)
+			r.c.Assert(r.started, qt.HasLen, 2)
+			r.end(r.started[1], EndDone, "all", 3*saveEvents)
+			r.state.Apply(batch.Complete(r.world.Output()))
+			j, _ := r.state.Job("job")
+			r.c.Assert(string(j.Results()[0].Text()), qt.Equals, "all")
+		})
+	}
+}
+
 // TestEnds checks what becomes of an item whose attempts all end in one way.
 func TestEnds(t *testing.T) {
 	for _, test := range []struct {
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -202,7 +202,7 @@
 		last = p.last
 	}
 	w.last++
-	w.running.Put(w.last, runningRow{key: key, backend: backend.ID(), started: now, last: last})
+	w.running.Put(w.last, runningRow{key: key, backend: backend.ID(), started: now, last: last, lead: w.lead})
 	w.counts[backend.ID()]++
 	w.start(Attempt{number: w.last, job: o.ID(), host: o.Host(), item: item, backend: backend, last: last})
 	return true
--- a/core/runner/system_take.go
+++ b/core/runner/system_take.go
@@ -15,11 +15,12 @@
 	}
 	key, backend := row.key, row.backend
 	if o.end == EndPart {
-		if w.leading && w.jobs.Get(key.job) != nil {
+		if row.lead == w.lead && w.jobs.Get(key.job) != nil {
 			w.keep(key, o)
 		}
 		return
 	}
+	ours := row.lead == w.lead
 	w.running.Remove(o.number)
 	if w.counts[backend]--; w.counts[backend] <= 0 {
 		delete(w.counts, backend)
@@ -28,7 +29,7 @@
 		"ran_ms", now.Sub(row.started).Milliseconds(), "last_event", o.last)
 	w.judge(now, backend, o.end)
 	w.pace.note(now.Sub(row.started), o.last-min(row.last, o.last), o.last, o.end == EndDone)
-	if job := w.jobs.Get(key.job); w.leading && job != nil {
+	if job := w.jobs.Get(key.job); ours && job != nil {
 		w.settle(now, key, job, o)
 	}
 }
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -40,6 +40,7 @@
 	random  func() float64
 
 	leading  bool
+	lead     uint64 // counts the times of leading
 	state    *batch.State
 	config   *routing.Config
 	servers  []directory.Server
@@ -106,6 +107,7 @@
 	}
 	w.fillAt = now.Add(leadPause)
 	w.leading, w.state = leading, state
+	w.lead++
 	event.RunnerChanged.Log(w.logger, "running", leading)
 	w.jobs = table.New[string, jobRow]()
 	w.progress = table.New[itemKey, progressRow]()
