Suspect servers are probed by opening a connection, not by a request

Ruled out: longer pauses alone (servers that are back would stay out). Change: a server that cannot be reached, is silent or loses twice is out of use until a connection can be opened; one silent server has all of another data centre probed.

--- a/core/entry/input.go
+++ b/core/entry/input.go
@@ -10,6 +10,8 @@
 	end      End
 	load     Load
 	head     bool
+	probed   string // server that was probed
+	reached  bool
 }
 
 // Submit starts a request. decide is called on the traffic thread with each
@@ -29,5 +31,8 @@
 	return Input{number: number, end: end, load: load}
 }
 
+// Probed tells whether a connection to a server could be opened.
+func Probed(backend string, reached bool) Input { return Input{probed: backend, reached: reached} }
+
 // Changed tells that the control world published something new.
 func Changed() Input { return Input{} }
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -137,6 +137,7 @@
 	runs     int      // attempts that may have run
 	backend  string   // of the current attempt
 	sentAt   time.Time
+	headAt   time.Time // of the newest answer's head
 	left     bool // the attempt was abandoned
 }
 
@@ -149,5 +150,8 @@
 	paused   time.Time
 	quiet    time.Duration // since bytes came from it, as of the last look
 	silent   bool          // no attempt there makes progress
+	suspect  bool          // out of use until a connection can be opened
+	probing  bool          // a connection is being opened
+	address  string
 	zone     string
 }
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -45,7 +45,7 @@
 		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) {
 			continue
 		}
-		if desperate || (!w.avoided(now, id, s.Backend().DataCentre()) && !s.Silent()) {
+		if desperate || (!w.avoided(now, id) && !s.Silent()) {
 			servers = append(servers, s)
 		}
 	}
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -12,9 +12,6 @@
 	if row == nil {
 		return
 	}
-	if input.load.Known() {
-		w.note(now, input.number, input.load)
-	}
 	server := w.server(row.backend)
 	server.inFlight--
 	w.changed = true
@@ -26,7 +23,7 @@
 	switch input.end {
 	case EndAnswered, EndGone:
 		event.RequestServed.Log(w.logger, "request", row.request.id, "outcome", input.end.String(), "backend", row.backend,
-			"runs", row.runs+1, "ms", now.Sub(row.request.arrived).Milliseconds())
+			"runs", row.runs+1, "first_ms", sinceArrival(row, row.headAt), "ms", now.Sub(row.request.arrived).Milliseconds())
 		w.requests.Remove(input.number)
 		return
 	case EndLost, EndBroken:
@@ -41,6 +38,15 @@
 	w.next(now, input.number, row)
 }
 
+// sinceArrival returns the milliseconds from a request's arrival to a time, -1
+// if that never came.
+func sinceArrival(row *requestRow, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return at.Sub(row.request.arrived).Milliseconds()
+}
+
 // judge keeps requests away from a server that did not do its work.
 func (w *World) judge(now time.Time, server *serverRow, end End) {
 	switch end {
@@ -51,5 +57,25 @@
 	case EndUnreachable, EndLost, EndBroken:
 		server.paused = now.Add(min(failurePause<<min(server.failures, 10), maxPause))
 		server.failures++
+		// One lost answer says little of a server; one that cannot be reached,
+		// or loses again, must not cost another request.
+		server.suspect = end == EndUnreachable || server.silent || server.failures > 1
+		if end == EndUnreachable {
+			w.doubt(now, server.zone)
+		}
+	}
+}
+
+// probed takes the outcome of a probe.
+func (w *World) probed(now time.Time, backend string, reached bool) {
+	row := w.servers.Get(backend)
+	if row == nil {
+		return
+	}
+	row.probing = false
+	if reached {
+		row.suspect, row.paused = false, time.Time{}
+		return
 	}
+	row.paused = now.Add(probePause)
 }
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -6,10 +6,6 @@
 	"papayaquay/core/event"
 )
 
-// darkZone is the number of silent servers at which another data centre is
-// taken to be out of reach.
-const darkZone = 2
-
 // watch finds servers that make no progress with any attempt. They get no
 // further requests until bytes come, and attempts there that may be repeated
 // go elsewhere.
@@ -18,26 +14,59 @@
 		return
 	}
 	w.watchDue = now.Add(watchEvery)
-	w.servers.Each(func(id string, row *serverRow) {
-		row.quiet = now.Sub(row.loadAt)
-		if row.inFlight == 0 && row.failures == 0 && now.After(row.paused) && row.quiet > maxPause {
-			w.servers.Remove(id)
-		}
-	})
+	if w.requests.Len() == 0 && !w.anySuspect() {
+		w.watchDue = now.Add(idleWatch)
+	}
+	w.forget(now)
 	w.requests.Each(func(_ uint64, row *requestRow) {
 		if row.backend != "" {
 			server := w.server(row.backend)
 			server.quiet = min(server.quiet, row.progress.since(now, row.sentAt))
 		}
 	})
-	clear(w.dark)
 	w.servers.Each(func(_ string, row *serverRow) {
-		row.silent = row.inFlight > 0 && row.quiet > silentAfter
-		if row.silent {
-			w.dark[row.zone]++
+		silent := row.inFlight > 0 && row.quiet > silentAfter
+		if silent && !row.silent {
+			w.doubt(now, row.zone)
 		}
+		row.silent = silent
 	})
 	w.requests.Each(func(_ uint64, row *requestRow) { w.giveUpSilent(row) })
+	w.servers.Each(func(id string, row *serverRow) {
+		if row.suspect && !row.probing && !now.Before(row.paused) {
+			row.probing = true
+			w.probe(id, row.address)
+		}
+	})
+}
+
+// forget drops the rows of servers that are not used any more or gone.
+func (w *World) forget(now time.Time) {
+	known := make(map[string]bool)
+	for _, s := range w.snapshot().Servers() {
+		known[s.Backend().ID()] = true
+	}
+	w.servers.Each(func(id string, row *serverRow) {
+		row.quiet = now.Sub(row.loadAt)
+		if row.inFlight == 0 && (!known[id] || (!row.suspect && now.After(row.paused) && row.quiet > forgetAfter)) {
+			w.servers.Remove(id)
+		}
+	})
+}
+
+// doubt has all servers of another data centre probed after one of them went
+// silent: a cut between data centres would cost a request for each otherwise.
+func (w *World) doubt(now time.Time, zone string) {
+	if zone == w.zone || now.Sub(w.doubted[zone]) < doubtPause {
+		return
+	}
+	w.doubted[zone] = now
+	for _, s := range w.snapshot().Servers() {
+		if b := s.Backend(); b.DataCentre() == zone {
+			row := w.server(b.ID())
+			row.suspect, row.address, row.zone = true, b.Address(), zone
+		}
+	}
 }
 
 // giveUpSilent ends an attempt at a silent server that may be repeated.
@@ -56,10 +85,14 @@
 }
 
 // avoided reports whether a server is left out while there are others.
-func (w *World) avoided(now time.Time, id, zone string) bool {
-	if zone != w.zone && w.dark[zone] >= darkZone {
-		return true
-	}
+func (w *World) avoided(now time.Time, id string) bool {
 	row := w.servers.Get(id)
-	return row != nil && (row.silent || now.Before(row.paused))
+	return row != nil && (row.silent || row.suspect || now.Before(row.paused))
+}
+
+// anySuspect reports whether a server waits for a probe.
+func (w *World) anySuspect() bool {
+	found := false
+	w.servers.Each(func(_ string, row *serverRow) { found = found || row.suspect })
+	return found
 }
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -133,7 +133,10 @@
 	p.traffic = tick.NewInbox[entry.Input]()
 	p.requests = entry.New(p.settings.DataCentre(), p.snapshot.Load,
 		entry.WithLogger(p.logger), entry.WithSeed(uint64(p.start.UnixNano())),
-		entry.WithReport(func(r usageReport) { p.inbox.Post(cluster.UsageChanged(r)) }))
+		entry.WithReport(func(r usageReport) { p.inbox.Post(cluster.UsageChanged(r)) }),
+		entry.WithProbe(func(backend, address string) {
+			go func() { p.traffic.Post(entry.Probed(backend, p.forward.Reaches(context.Background(), address))) }()
+		}))
 }
 
 // Snapshot returns the newest view of the control world.
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -20,7 +20,7 @@
 
 // Limits of connections to backend servers.
 const (
-	dialTimeout    = 400 * time.Millisecond
+	dialTimeout    = 250 * time.Millisecond
 	silenceTimeout = 1500 * time.Millisecond // bytes that a server does not confirm
 	idleTimeout    = 20 * time.Second
 	maxIdlePerHost = 64
@@ -114,6 +114,16 @@
 	return c
 }
 
+// Reaches reports whether a connection to a server can be opened.
+func (c *Client) Reaches(ctx context.Context, address string) bool {
+	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // answer is the answer of a backend server whose body is still to be read.
 type answer struct {
 	response *http.Response
