--- a/core/cluster/codec.go
+++ b/core/cluster/codec.go
@@ -102,6 +102,21 @@
 // Loads is what all instances run, by backend server.
 type Loads map[string]usage.Load
 
+// Sums is the load of all instances with the number of entries that report.
+type Sums struct {
+	reporters int
+	loads     Loads
+}
+
+// NewSums returns the sums over the reports of so many entries.
+func NewSums(reporters int, loads Loads) Sums { return Sums{reporters: reporters, loads: loads} }
+
+// Reporters returns the number of entries that report.
+func (s Sums) Reporters() int { return s.reporters }
+
+// Loads returns the load by backend server.
+func (s Sums) Loads() Loads { return s.loads }
+
 // Codec encodes what travels and what is stored.
 type Codec struct {
 	Registry      Pair[registry.Command]
@@ -111,7 +126,7 @@
 	Following     Pair[Following]
 	News          Pair[News]
 	Report        Pair[usage.Report]
-	Loads         Pair[Loads]
+	Sums          Pair[Sums]
 	Query         Pair[Query]
 	Page          Pair[batch.Page]
 }
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -107,7 +107,7 @@
 	h.runner.Each(func(backend string, items int) {
 		loads[backend] = usage.NewLoad(loads[backend].Online(), items)
 	})
-	answer, err := w.codec.Loads.Encode(loads)
+	answer, err := w.codec.Sums.Encode(NewSums(h.usage.Len(), loads))
 	if err != nil {
 		return
 	}
--- a/core/cluster/system_share.go
+++ b/core/cluster/system_share.go
@@ -5,13 +5,16 @@
 	"time"
 
 	"papayaquay/core/call"
+	"papayaquay/core/event"
 	"papayaquay/core/usage"
 )
 
 // Timing of the reports of online load.
 const (
-	reportPause   = 20 * time.Millisecond // between reports that differ
-	reportRefresh = 250 * time.Millisecond
+	reportPause   = 8 * time.Millisecond   // between reports that differ, at least
+	reportEach    = 600 * time.Microsecond // the same for each entry that reports
+	refreshBusy   = 3                      // pauses after which a busy entry asks without a change
+	reportRefresh = 250 * time.Millisecond // the same of an entry without requests
 	reportTimeout = 400 * time.Millisecond
 	loadsExpiry   = 2 * time.Second // age at which the sums no longer count
 )
@@ -25,6 +28,7 @@
 	asked   bool
 	sentAt  time.Time
 	heardAt time.Time
+	others  int // entries that report
 	loads   Loads
 }
 
@@ -40,8 +44,12 @@
 
 // due returns when the next report is to be sent.
 func (s *share) due() time.Time {
-	if s.changed {
-		return s.sentAt.Add(reportPause)
+	pause := max(reportPause, time.Duration(s.others)*reportEach)
+	switch {
+	case s.changed:
+		return s.sentAt.Add(pause)
+	case len(s.report.Running()) > 0:
+		return s.sentAt.Add(min(refreshBusy*pause, reportRefresh))
 	}
 	return s.sentAt.Add(reportRefresh)
 }
@@ -77,10 +85,13 @@
 	if reply.Status() != call.StatusDone {
 		return
 	}
-	loads, err := w.codec.Loads.Decode(reply.Payload())
+	sums, err := w.codec.Sums.Decode(reply.Payload())
 	if err != nil {
+		event.CommandInvalid.Log(w.logger, "sums", "decode", "error", err)
 		return
 	}
+	loads := sums.loads
+	s.others = sums.reporters
 	for backend, running := range sent.Running() {
 		l := loads[backend]
 		loads[backend] = usage.NewLoad(max(l.Online()-running, 0), l.Batch())
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -138,7 +138,7 @@
 	backend  string   // of the current attempt
 	sentAt   time.Time
 	headAt   time.Time // of the newest answer's head
-	left     bool // the attempt was abandoned
+	left     bool      // the attempt was abandoned
 }
 
 // serverRow is what this entry knows of a backend server by its own requests.
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -66,6 +66,41 @@
 	return online, batch
 }
 
+// queueAllowed is how many online requests may wait on a server beyond its
+// slots. One waits an eighth of a run on servers of eight slots, which leaves
+// time within the usual objectives; two would not.
+const queueAllowed = 1
+
+// overloaded reports whether every server has so many online requests that
+// another one would wait too long. Batch items do not count: they give way.
+func (w *World) overloaded(now time.Time, row *requestRow) bool {
+	if !w.snapshot().Shared() {
+		return false
+	}
+	servers := w.candidates(now, row, false)
+	for _, s := range servers {
+		if online, _ := w.occupancy(now, s.Backend().ID()); online < s.Backend().Slots()+queueAllowed {
+			return false
+		}
+	}
+	return len(servers) > 0
+}
+
+// pace returns how long work takes on a server now, relative to the usual.
+func (w *World) pace(now time.Time, id string) float64 {
+	state := w.servers.Get(id)
+	if state == nil || state.load.pace <= 0 || now.Sub(state.loadAt) > paceFresh {
+		return 1
+	}
+	return float64(state.load.pace) / usualPace
+}
+
+// Pace of servers.
+const (
+	usualPace = 100 // percent
+	paceFresh = 300 * time.Millisecond
+)
+
 // draw picks among servers with free slots.
 func (w *World) draw(now time.Time, servers []directory.Server, batchCounts bool) (choice, bool) {
 	var choices []choice
@@ -80,7 +115,7 @@
 		if free <= 0 {
 			continue
 		}
-		weight := free * free
+		weight := free * free / w.pace(now, s.Backend().ID())
 		if s.Backend().DataCentre() == w.zone {
 			weight *= nearWeight
 		}
@@ -97,15 +132,22 @@
 	return choice{}, false
 }
 
-// least picks the server with the fewest online requests.
+// least picks one of the servers with the fewest online requests, at random:
+// other entries see the same counts.
 func (w *World) least(now time.Time, servers []directory.Server) (choice, bool) {
 	var best choice
-	found := false
+	ties := 0
 	for _, s := range servers {
 		online, batch := w.occupancy(now, s.Backend().ID())
-		if !found || online < best.online {
-			best, found = choice{backend: s.Backend(), online: online, batch: batch, candidates: len(servers)}, true
+		c := choice{backend: s.Backend(), online: online, batch: batch, candidates: len(servers)}
+		switch {
+		case ties == 0 || online < best.online:
+			best, ties = c, 1
+		case online == best.online:
+			if ties++; w.random.IntN(ties) == 0 {
+				best = c
+			}
 		}
 	}
-	return best, found
+	return best, ties > 0
 }
--- a/core/usage/world.go
+++ b/core/usage/world.go
@@ -84,6 +84,9 @@
 	})
 }
 
+// Len returns the number of entries that report.
+func (w *World) Len() int { return w.reports.Len() }
+
 // Online returns the online requests on a backend server.
 func (w *World) Online(backend string) int { return w.online[backend] }
 
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -22,7 +22,7 @@
 		Following:     cluster.NewPair(encodeFollowing, decodeFollowing),
 		News:          cluster.NewPair(encodeNews, decodeNews),
 		Report:        cluster.NewPair(encodeReport, decodeReport),
-		Loads:         cluster.NewPair(encodeLoads, decodeLoads),
+		Sums:          cluster.NewPair(encodeSums, decodeSums),
 		Query:         cluster.NewPair(encodeQuery, decodeQuery),
 		Page:          cluster.NewPair(encodePage, decodePage),
 	}
@@ -244,25 +244,32 @@
 	return usage.NewReport(running), err
 }
 
-// encodeLoads encodes the load of all instances: online and batch by server.
-func encodeLoads(l cluster.Loads) ([]byte, error) {
-	wire := make(map[string][2]int, len(l))
-	for id, load := range l {
-		wire[id] = [2]int{load.Online(), load.Batch()}
+// sums is the wire form of cluster.Sums: online and batch by server.
+type sums struct {
+	_         struct{} `cbor:",toarray"`
+	Reporters int
+	Loads     map[string][2]int
+}
+
+// encodeSums encodes the load of all instances.
+func encodeSums(s cluster.Sums) ([]byte, error) {
+	wire := sums{Reporters: s.Reporters(), Loads: make(map[string][2]int, len(s.Loads()))}
+	for id, load := range s.Loads() {
+		wire.Loads[id] = [2]int{load.Online(), load.Batch()}
 	}
 	data, err := cbor.Marshal(wire)
-	return data, errors.Wrap(err, "encode loads")
+	return data, errors.Wrap(err, "encode sums")
 }
 
-// decodeLoads decodes the load of all instances.
-func decodeLoads(data []byte) (cluster.Loads, error) {
-	wire := make(map[string][2]int)
+// decodeSums decodes the load of all instances.
+func decodeSums(data []byte) (cluster.Sums, error) {
+	var wire sums
 	if err := Decode(data, &wire); err != nil {
-		return nil, err
+		return cluster.Sums{}, err
 	}
-	loads := make(cluster.Loads, len(wire))
-	for id, counts := range wire {
+	loads := make(cluster.Loads, len(wire.Loads))
+	for id, counts := range wire.Loads {
 		loads[id] = usage.NewLoad(counts[0], counts[1])
 	}
-	return loads, nil
+	return cluster.NewSums(wire.Reporters, loads), nil
 }
