--- a/core/call/call.go
+++ b/core/call/call.go
@@ -29,6 +29,15 @@
 	KindRetired                  // whether an instance was emptied
 )
 
+// String returns the kind's name for logs and metrics.
+func (k Kind) String() string {
+	names := [...]string{"unknown", "propose", "follow", "usage", "document", "page", "body", "retire", "retired"}
+	if int(k) >= len(names) {
+		return names[0]
+	}
+	return names[k]
+}
+
 // Status is the outcome of a call.
 type Status uint8
 
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -16,6 +16,7 @@
 	server.inFlight--
 	w.changed = true
 	w.judge(now, server, input.end)
+	w.tried(input.end)
 	if input.end != EndAnswered {
 		event.AttemptFailed.Log(w.logger, "request", row.request.id, "backend", row.backend, "end", input.end.String(),
 			"failures", server.failures, "ms", now.Sub(row.sentAt).Milliseconds())
@@ -24,6 +25,8 @@
 	case EndAnswered, EndGone:
 		event.RequestServed.Log(w.logger, "request", row.request.id, "outcome", input.end.String(), "backend", row.backend,
 			"runs", row.runs+1, "first_ms", sinceArrival(row, row.headAt), "ms", now.Sub(row.request.arrived).Milliseconds())
+		first := time.Duration(sinceArrival(row, row.headAt)) * time.Millisecond
+		w.served(input.end.String(), first, now.Sub(row.request.arrived))
 		w.requests.Remove(input.number)
 		return
 	case EndLost, EndBroken:
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -34,6 +34,8 @@
 	snapshot func() *cluster.Snapshot
 	report   func(usage.Report)
 	probe    func(backend, address string)
+	served   func(outcome string, first, total time.Duration)
+	tried    func(End)
 	zone     string
 
 	requests *table.Table[uint64, requestRow]
@@ -64,12 +66,20 @@
 	return func(w *World) { w.probe = probe }
 }
 
+// WithObserver sets the functions told of each request that ended, with the
+// times to the head of its answer (negative without one) and to its end, and of
+// each attempt that ended.
+func WithObserver(served func(outcome string, first, total time.Duration), tried func(End)) Option {
+	return func(w *World) { w.served, w.tried = served, tried }
+}
+
 // New returns a world without requests. snapshot returns the newest view of
 // the control world; dataCentre is this entry's.
 func New(dataCentre string, snapshot func() *cluster.Snapshot, options ...Option) *World {
 	w := &World{
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
-		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {}, zone: dataCentre,
+		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
+		served: func(string, time.Duration, time.Duration) {}, tried: func(End) {}, zone: dataCentre,
 		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), doubted: make(map[string]time.Time),
 	}
 	for _, option := range options {
@@ -183,6 +193,7 @@
 	}
 	event.RequestServed.Log(w.logger, "request", row.request.id, "outcome", reason, "runs", row.runs,
 		"attempts", len(row.tried), "ms", now.Sub(row.request.arrived).Milliseconds())
+	w.served(reason, -1, now.Sub(row.request.arrived))
 	decide := row.decide
 	w.requests.Remove(number)
 	decide(d)
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -38,6 +38,7 @@
 	start   func(Attempt)
 	stop    func(number uint64)
 	random  func() float64
+	ended   func(End, time.Duration)
 
 	leading  bool
 	lead     uint64 // counts the times of leading
@@ -80,6 +81,12 @@
 // WithRandom sets the source of draws in [0, 1).
 func WithRandom(random func() float64) Option { return func(w *World) { w.random = random } }
 
+// WithObserver sets the function told of each attempt that ended and how long
+// it ran.
+func WithObserver(ended func(End, time.Duration)) Option {
+	return func(w *World) { w.ended = ended }
+}
+
 // WithReserve sets how many slots of each server batch leaves free.
 func WithReserve(slots int) Option { return func(w *World) { w.reserve = slots } }
 
@@ -88,7 +95,7 @@
 	w := &World{
 		logger: slog.New(slog.DiscardHandler), reserve: DefaultReserve,
 		start: func(Attempt) {}, stop: func(uint64) {},
-		random: func() float64 { return 0 }, online: func(string) int { return 0 },
+		random: func() float64 { return 0 }, online: func(string) int { return 0 }, ended: func(End, time.Duration) {},
 		jobs: table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
 		running: table.New[uint64, runningRow](), pauses: table.New[string, pauseRow](),
 		yielded: table.New[string, time.Time](),
--- a/io/fleet/calls.go
+++ b/io/fleet/calls.go
@@ -29,10 +29,13 @@
 
 // ask starts a call on the control thread and waits for its reply.
 func (p *Process) ask(kind call.Kind, target call.Target, bound time.Duration, payload []byte, options ...call.Option) ([]byte, error) {
+	began := time.Now()
 	replies := make(chan call.Reply, 1)
 	c := call.New(kind, target, boottime.Now().Add(bound), payload, options...)
 	p.inbox.Post(cluster.Ask(c, func(r call.Reply) { replies <- r }))
-	return result(<-replies)
+	data, err := result(<-replies)
+	metrics().called(kind.String(), err, time.Since(began))
+	return data, err
 }
 
 // result turns a reply into its content or an error.
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -134,6 +134,7 @@
 	p.requests = entry.New(p.settings.DataCentre(), p.snapshot.Load,
 		entry.WithLogger(p.logger), entry.WithSeed(uint64(p.start.UnixNano())),
 		entry.WithReport(func(r usageReport) { p.inbox.Post(cluster.UsageChanged(r)) }),
+		entry.WithObserver(metrics().served, metrics().tried),
 		entry.WithProbe(func(backend, address string) {
 			go func() { p.traffic.Post(entry.Probed(backend, p.forward.Reaches(context.Background(), address))) }()
 		}))
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -56,7 +56,7 @@
 	}
 	if s.Role() == settings.RoleStore {
 		options = append(options, cluster.WithRunner(runner.New(runner.WithLogger(p.logger),
-			runner.WithRandom(rand.Float64), runner.WithAttempts(p.startItem, p.items.stop),
+			runner.WithRandom(rand.Float64), runner.WithAttempts(p.startItem, p.items.stop), runner.WithObserver(metrics().ran),
 			runner.WithOnline(func(backend string) int { return p.world.Online(backend) }))))
 	}
 	p.world = cluster.New(now, self, record.NewClusterCodec(), p.front.decode, options...)
