--- a/cmd_run.go
+++ b/cmd_run.go
@@ -50,12 +50,12 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, path, s, p, logger)
+	go reload(ctx, path, p, logger)
 	return p.Run(ctx)
 }
 
 // reload takes over seeds from the settings file when it changed.
-func reload(ctx context.Context, path string, s *settings.Fleet, p *fleet.Process, logger *slog.Logger) {
+func reload(ctx context.Context, path string, p *fleet.Process, logger *slog.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	tick := time.NewTicker(settingsPeriod)
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -44,7 +44,7 @@
 	if f.epoch != w.directory.Epoch() || f.version == 0 {
 		row.due = now
 	}
-	w.polls.add(pollKey{asker.from, asker.number}, row)
+	w.polls.add(pollKey(asker), row)
 }
 
 // servePropose proposes a command; its caller is answered when it is applied.
--- a/core/cluster/system_ledger.go
+++ b/core/cluster/system_ledger.go
@@ -10,9 +10,6 @@
 	"papayaquay/core/ledger"
 )
 
-// handOverRetry is the pause between attempts to give up the lead.
-const handOverRetry = 50 * time.Millisecond
-
 // runLedgers runs the hosted ledger and applies what was committed.
 func (w *World) runLedgers(now time.Time) {
 	id := w.hosted()
--- a/core/cluster/upstream.go
+++ b/core/cluster/upstream.go
@@ -24,8 +24,7 @@
 	epoch   uint64
 	version uint64
 	asked   bool
-	failed  time.Time // of the last poll without an answer
-	known   bool      // answered at least once since it was chosen
+	known   bool // answered at least once since it was chosen
 }
 
 // upstreams is the sub-world that follows control instances.
--- a/core/ledger/world_test.go
+++ b/core/ledger/world_test.go
@@ -62,11 +62,20 @@
 	leaders map[uint64]string // leader of each term
 	seed    uint64
 	next    int
+	target  int       // voters to keep, 0 for all
+	reads   []readRow // barrier reads that wait
+}
+
+// readRow is a read that must see all that was committed when it came.
+type readRow struct {
+	node        *node
+	term, round uint64
+	committed   int
 }
 
 // newCluster returns a cluster of size fresh instances.
-func newCluster(t interface{ Fatalf(string, ...any) }, size int, seed uint64) *cluster {
-	c := &cluster{t: t, now: time.Unix(1000, 0), chosen: make(map[uint64]string), leaders: make(map[uint64]string), seed: seed}
+func newCluster(t interface{ Fatalf(string, ...any) }, size, target int, seed uint64) *cluster {
+	c := &cluster{t: t, target: target, now: time.Unix(1000, 0), chosen: make(map[uint64]string), leaders: make(map[uint64]string), seed: seed}
 	for i := range size {
 		c.names = append(c.names, fmt.Sprintf("i%d", i))
 	}
@@ -81,7 +90,8 @@
 // boot starts an instance from its disk.
 func (c *cluster) boot(n *node) {
 	c.seed++
-	n.world = New(n.name, WithSeed(c.seed))
+	n.world = New(n.name, WithSeed(c.seed), WithVoters(c.target, func(instance string) string { return instance[1:] },
+		func(string) bool { return false }))
 	n.syncs, n.frozen = nil, false
 	replica := ReplicaID(fmt.Sprintf("%s#%d", n.name, n.disk.nonce))
 	n.world.Host(c.now, testLedger, replica, c.names,
@@ -218,6 +228,9 @@
 			continue
 		}
 		members := n.world.Statuses()[0].Members()
+		if c.target > 0 {
+			return c.fullStrength(members)
+		}
 		for _, m := range members {
 			other := c.node(m.Instance())
 			if !m.Voter() || string(m.Replica()) != fmt.Sprintf("%s#%d", other.name, other.disk.nonce) {
@@ -229,6 +242,49 @@
 	return false
 }
 
+// fullStrength reports whether the target number of voters have their disks.
+func (c *cluster) fullStrength(members []Member) bool {
+	voters := 0
+	for _, m := range members {
+		other := c.node(m.Instance())
+		present := string(m.Replica()) == fmt.Sprintf("%s#%d", other.name, other.disk.nonce)
+		if m.Voter() && !present {
+			return false
+		}
+		if m.Voter() {
+			voters++
+		}
+	}
+	return voters == c.target && len(members) == len(c.nodes)
+}
+
+// read starts a barrier read at an instance that takes itself for the leader.
+func (c *cluster) read(n *node) {
+	if term, round, ok := n.world.Barrier(testLedger); ok && !n.frozen {
+		c.reads = append(c.reads, readRow{node: n, term: term, round: round, committed: len(c.chosen)})
+	}
+}
+
+// checkReads fails if a read passes at an instance that lacks what was
+// committed before the read came.
+func (c *cluster) checkReads() {
+	var rest []readRow
+	for _, r := range c.reads {
+		if r.node.frozen {
+			rest = append(rest, r)
+			continue
+		}
+		passed, lost := r.node.world.Passed(testLedger, r.term, r.round)
+		switch {
+		case passed && r.node.world.Applied(testLedger) < uint64(r.committed):
+			c.t.Fatalf("a read at %s passed with %d of %d entries", r.node.name, r.node.world.Applied(testLedger), r.committed)
+		case !passed && !lost:
+			rest = append(rest, r)
+		}
+	}
+	c.reads = rest
+}
+
 // loseDisk restarts an instance with an empty disk.
 func (c *cluster) loseDisk(n *node) {
 	n.disk = diskRow{nonce: n.disk.nonce + 1}
@@ -290,11 +346,27 @@
 }
 
 // TestSafety runs random schedules of lost, doubled, crossed and delayed
-// messages, restarts that lose unsynced records, freezes, cuts and lost disks.
+// messages, restarts that lose unsynced records, freezes, cuts and lost disks,
+// with all instances as voters or with three of them and learners that take the
+// place of lost ones.
 func TestSafety(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		sizes  []int
+		target int
+	}{
+		{"all vote", []int{3, 5}, 0},
+		{"three vote", []int{3, 4, 5}, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) { checkSafety(t, test.sizes, test.target) })
+	}
+}
+
+// checkSafety checks random schedules of clusters with the given sizes.
+func checkSafety(t *testing.T, sizes []int, target int) {
 	rapid.Check(t, func(rt *rapid.T) {
-		size := rapid.SampledFrom([]int{3, 5}).Draw(rt, "size")
-		c := newCluster(rt, size, rapid.Uint64().Draw(rt, "seed"))
+		size := rapid.SampledFrom(sizes).Draw(rt, "size")
+		c := newCluster(rt, size, target, rapid.Uint64().Draw(rt, "seed"))
 		if !c.settle(10 * time.Second) {
 			rt.Fatalf("the ledger did not form")
 		}
@@ -302,6 +374,7 @@
 		for range steps {
 			c.act(rt)
 			c.checkLeases()
+			c.checkReads()
 		}
 		before := len(c.chosen)
 		if !c.settle(60 * time.Second) {
@@ -318,7 +391,9 @@
 // act does one random thing.
 func (c *cluster) act(rt *rapid.T) {
 	n := c.nodes[rapid.IntRange(0, len(c.nodes)-1).Draw(rt, "node")]
-	switch action := rapid.IntRange(0, 99).Draw(rt, "action"); {
+	switch action := rapid.IntRange(0, 103).Draw(rt, "action"); {
+	case action >= 100:
+		c.read(n)
 	case action < 30:
 		c.now = c.now.Add(time.Duration(rapid.IntRange(1, 80).Draw(rt, "ms")) * time.Millisecond)
 		for _, n := range c.nodes {
@@ -401,7 +476,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			x := newCluster(t, 3, 7)
+			x := newCluster(t, 3, 0, 7)
 			c.Assert(x.settle(10*time.Second), qt.IsTrue)
 			x.propose(x.leader())
 			c.Assert(x.settle(time.Second), qt.IsTrue)
@@ -420,7 +495,7 @@
 // the repair of the one before.
 func TestSecondLossAfterRepair(t *testing.T) {
 	c := qt.New(t)
-	x := newCluster(t, 3, 11)
+	x := newCluster(t, 3, 0, 11)
 	c.Assert(x.settle(10*time.Second), qt.IsTrue)
 	for round := range 6 {
 		x.propose(x.leader())
@@ -429,3 +504,38 @@
 		c.Assert(x.settle(30*time.Second), qt.IsTrue, qt.Commentf("round %d: %v", round, x.describe()))
 	}
 }
+
+// TestSuspension checks that a leader that was suspended does not hold its
+// lease when it wakes, measured by a clock that counts the suspension. By a
+// clock that stands still meanwhile it would answer beside the new leader.
+func TestSuspension(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		counts bool
+		holds  bool
+	}{
+		{"the clock counts the suspension", true, false},
+		{"the clock stands still", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 3, 0, 1)
+			qt.Assert(t, c.settle(10*time.Second), qt.IsTrue)
+			old := c.leader()
+			asleep := c.now
+			old.frozen = true
+			for range 500 {
+				c.step(10 * time.Millisecond)
+			}
+			qt.Assert(t, c.leader() != nil && c.leader() != old, qt.IsTrue)
+			now := asleep
+			if test.counts {
+				now = c.now
+			}
+			qt.Assert(t, old.world.Leads(now, testLedger), qt.Equals, test.holds)
+			_, _, ok := old.world.Barrier(testLedger)
+			qt.Assert(t, ok, qt.IsTrue)
+			passed, _ := old.world.Passed(testLedger, old.world.Statuses()[0].Term(), 1<<40)
+			qt.Assert(t, passed, qt.IsFalse)
+		})
+	}
+}
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -66,7 +66,6 @@
 	requests  *entry.World
 	items     itemRuns
 	snapshot  atomic.Pointer[cluster.Snapshot]
-	ready     atomic.Bool
 	leaving   atomic.Bool
 	served    chan error
 	wait      sync.WaitGroup
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -20,10 +20,10 @@
 // Timing of ledgers. Links between the data centres of a deployment take about
 // a millisecond, and a capped core stands still for up to a tenth of a second.
 const (
-	ledgerHeartbeat   = 120 * time.Millisecond
-	ledgerElectionMin = 500 * time.Millisecond
-	ledgerElectionMax = 800 * time.Millisecond
-	ledgerLease       = 400 * time.Millisecond
+	ledgerHeartbeat       = 120 * time.Millisecond
+	ledgerElectionFloor   = 500 * time.Millisecond
+	ledgerElectionCeiling = 800 * time.Millisecond
+	ledgerLease           = 400 * time.Millisecond
 )
 
 // usageReport is what an entry runs by backend server.
@@ -78,7 +78,7 @@
 		id = cluster.JobsLedger
 	}
 	world := ledger.New(s.PeerAddress(), ledger.WithSeed(uint64(p.start.UnixNano())),
-		ledger.WithTiming(ledgerHeartbeat, ledgerElectionMin, ledgerElectionMax, ledgerLease),
+		ledger.WithTiming(ledgerHeartbeat, ledgerElectionFloor, ledgerElectionCeiling, ledgerLease),
 		ledger.WithVoters(s.Voters(),
 			func(instance string) string { return p.world.Place(instance) },
 			func(instance string) bool { return p.world.Retiring(instance) }))
