Many store instances: few replicas, reports through collecting stores, items read in larger pieces

Cause: on the grown sites the leader of the jobs ledger used 0.386 of its 0.48 cores and lost its lease: 118 entries reported to it directly, 13 replicas got every job and result, each event of 300 items was a read of its own. Ruled out: memory (163 MB of 294). Change: a ledger takes in the target of voters and two standbys only; above six store instances an entry reports to one of its data centre, which passes sums on every 20 ms; items are read every 0.1 s.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -21,7 +21,8 @@
 const (
 	KindPropose  Kind = iota + 1 // apply an encoded command to the target's ledger
 	KindFollow                   // changes of directory and configuration
-	KindUsage                    // online load of an entry
+	KindUsage                    // online load, to the leader of the jobs ledger
+	KindCollect                  // online load of an entry, to a store instance that passes it on
 	KindDocument                 // the newest configuration document, surely
 	KindPage                     // results of a job
 	KindBody                     // the body of an item
@@ -31,7 +32,7 @@
 
 // String returns the kind's name for logs and metrics.
 func (k Kind) String() string {
-	names := [...]string{"unknown", "propose", "follow", "usage", "document", "page", "body", "retire", "retired"}
+	names := [...]string{"unknown", "propose", "follow", "usage", "collect", "document", "page", "body", "retire", "retired"}
 	if int(k) >= len(names) {
 		return names[0]
 	}
--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -33,6 +33,7 @@
 	waiters  *table.Table[askerKey, waiterRow]
 	expireAt time.Time
 	encoding bool
+	led      bool // led the ledger in the last tick
 }
 
 // newJobsHost returns the sub-world in its initial state.
@@ -58,9 +59,17 @@
 	h.usage.Run(now)
 	leads := w.ledgers.Leads(now, JobsLedger)
 	h.runner.Lead(now, leads, h.state)
+	if leads != h.led {
+		h.led = leads
+		h.usage.Reset()
+	}
 	if !leads {
+		if w.share.collect {
+			w.share.set(h.usage.Sum())
+		}
 		return
 	}
+	w.share.active = false
 	h.runner.View(w.config, w.directory.Servers(now))
 	h.runner.Run(now)
 	if finishes := h.runner.Output(); len(finishes) > 0 {
--- a/core/cluster/scenario_test.go
+++ b/core/cluster/scenario_test.go
@@ -9,6 +9,7 @@
 	"papayaquay/core/call"
 	"papayaquay/core/directory"
 	"papayaquay/core/runner"
+	"papayaquay/core/usage"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -227,3 +228,42 @@
 	s.c.Assert(s.submit("e1", "c", 40), qt.Equals, call.StatusDone)
 	s.c.Assert(s.submit("e0", "a", 60), qt.Equals, call.StatusDone)
 }
+
+// TestSums checks that every entry hears what the others run, with few store
+// instances from the leader of the jobs ledger and with many through the store
+// instance that collects its reports, also after the loss of that or the leader.
+func TestSums(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		stores int
+	}{
+		{"to the leader", 3},
+		{"collected", collectAbove + 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, test.stores)
+			s.run(5 * time.Second)
+			report := func() {
+				for i, address := range []string{"e0", "e1"} {
+					n := s.node(address)
+					n.inbox = append(n.inbox, UsageChanged(usage.NewReport(map[string]int{"b1": i + 2})))
+				}
+			}
+			check := func() {
+				report()
+				s.run(500 * time.Millisecond)
+				s.c.Assert(s.node("e0").snapshot.Load("b1").Online(), qt.Equals, 3)
+				s.c.Assert(s.node("e1").snapshot.Load("b1").Online(), qt.Equals, 2)
+			}
+			check()
+			s.leader(directory.KindStore).down = true
+			s.run(3 * time.Second)
+			check()
+			if address := s.node("e0").world.collector(s.now); address != "" && len(s.nodes) > 8 {
+				s.node(address).down = true
+				s.run(3 * time.Second)
+				check()
+			}
+		})
+	}
+}
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -21,6 +21,8 @@
 		w.serveDocument(asker)
 	case call.KindUsage:
 		w.serveUsage(now, asker, r.Payload())
+	case call.KindCollect:
+		w.serveCollect(now, asker, r.Payload())
 	case call.KindPage, call.KindBody:
 		w.serveQuery(now, asker, r)
 	case call.KindRetire, call.KindRetired:
--- a/core/cluster/system_share.go
+++ b/core/cluster/system_share.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"papayaquay/core/call"
+	"papayaquay/core/directory"
 	"papayaquay/core/event"
 	"papayaquay/core/usage"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Timing of the reports of online load.
@@ -17,6 +20,9 @@
 	reportRefresh = 250 * time.Millisecond // the same of an entry without requests
 	reportTimeout = 400 * time.Millisecond
 	loadsExpiry   = 2 * time.Second // age at which the sums no longer count
+	collectPause  = 20 * time.Millisecond
+	collectAbove  = 6           // store instances above which entries report to one of them, not to the leader
+	collectAvoid  = time.Second // without reports to a store instance that did not answer
 )
 
 // share is the sub-world of an entry that tells its load and hears the sums.
@@ -28,12 +34,14 @@
 	asked   bool
 	sentAt  time.Time
 	heardAt time.Time
-	others  int // entries that report
+	others  int  // entries that report to the same instance
+	collect bool // this instance passes on the reports of entries
+	avoid   map[string]time.Time
 	loads   Loads
 }
 
 // newShare returns the sub-world without reports.
-func newShare() *share { return &share{} }
+func newShare() *share { return &share{avoid: make(map[string]time.Time)} }
 
 // set takes what this entry runs now.
 func (s *share) set(r usage.Report) {
@@ -44,6 +52,9 @@
 
 // due returns when the next report is to be sent.
 func (s *share) due() time.Time {
+	if s.collect {
+		return s.sentAt.Add(collectPause)
+	}
 	pause := max(reportPause, time.Duration(s.others)*reportEach)
 	switch {
 	case s.changed:
@@ -74,10 +85,78 @@
 	}
 	s.asked, s.changed, s.told, s.sentAt = true, false, s.report, now
 	sent := s.report
+	if address := w.collector(now); address != "" {
+		c := call.New(call.KindCollect, call.TargetNode, now.Add(reportTimeout), payload, call.WithAddress(address))
+		w.calls.Start(now, c, func(reply call.Reply) {
+			if reply.Status() != call.StatusDone {
+				s.avoid[address] = w.now.Add(collectAvoid)
+			}
+			w.takeLoads(sent, reply)
+		})
+		return
+	}
 	w.calls.Start(now, call.New(call.KindUsage, call.TargetJobs, now.Add(reportTimeout), payload),
 		func(reply call.Reply) { w.takeLoads(sent, reply) })
 }
 
+// collector returns the store instance that takes this entry's reports, or
+// nothing where there are so few that they can all go to the leader. Those in
+// the same data centre go first; entries spread over them by hash.
+func (w *World) collector(now time.Time) string {
+	stores := w.directory.Nodes(directory.KindStore)
+	if w.share.collect || len(stores) <= collectAbove {
+		return ""
+	}
+	best, most := "", uint64(0)
+	for _, near := range []bool{true, false} {
+		for _, n := range stores {
+			weight := xxhash.Sum64String(w.self.Address() + "\x00" + n.Address())
+			if (!near || n.DataCentre() == w.self.DataCentre()) && now.After(w.share.avoid[n.Address()]) && weight >= most {
+				best, most = n.Address(), weight
+			}
+		}
+		if best != "" {
+			return best
+		}
+	}
+	return best
+}
+
+// serveCollect takes an entry's load at a store instance and answers with the
+// sums as last heard from the leader and the newest of the entries here.
+func (w *World) serveCollect(now time.Time, asker askerKey, payload []byte) {
+	h := w.jobs
+	if h == nil {
+		w.redirect(asker)
+		return
+	}
+	if w.ledgers.Leads(now, JobsLedger) {
+		w.serveUsage(now, asker, payload)
+		return
+	}
+	report, err := w.codec.Report.Decode(payload)
+	if err != nil {
+		event.CommandInvalid.Log(w.logger, "report", asker.from, "error", err)
+		return
+	}
+	h.usage.Take(now, asker.from, report)
+	w.share.collect = true
+	w.share.set(h.usage.Sum())
+	loads := make(Loads, len(w.share.loads))
+	for backend, l := range w.share.loads {
+		loads[backend] = l
+	}
+	h.usage.Each(func(backend string, online int) {
+		loads[backend] = usage.NewLoad(loads[backend].Online()+online, loads[backend].Batch())
+	})
+	answer, err := w.codec.Sums.Encode(NewSums(h.usage.Len(), loads))
+	if err != nil {
+		event.CommandInvalid.Log(w.logger, "sums", asker.from, "error", err)
+		return
+	}
+	w.answer(asker, call.StatusDone, answer)
+}
+
 // takeLoads keeps what the others run: the sums without this entry's part.
 func (w *World) takeLoads(sent usage.Report, reply call.Reply) {
 	s := w.share
--- a/core/ledger/system_balance.go
+++ b/core/ledger/system_balance.go
@@ -32,9 +32,11 @@
 
 // sound reports whether a voter answers and is to stay.
 func (w *World) sound(now time.Time, row *replicaRow, m Member) bool {
-	if w.retiring(m.instance) {
-		return false
-	}
+	return !w.retiring(m.instance) && w.heard(now, row, m)
+}
+
+// heard reports whether a replica answered lately.
+func (w *World) heard(now time.Time, row *replicaRow, m Member) bool {
 	if m.replica == row.self {
 		return true
 	}
--- a/core/ledger/system_form.go
+++ b/core/ledger/system_form.go
@@ -144,6 +144,9 @@
 	if _, ok := row.member(m.from); ok {
 		return
 	}
+	if w.target > 0 && w.crowded(now, row, members, m.source) {
+		return
+	}
 	var next []Member
 	for _, member := range members {
 		if member.voter || member.instance != m.source {
@@ -153,6 +156,18 @@
 	w.setMembers(now, row, append(next, NewMember(m.from, m.source, false)))
 }
 
+// crowded reports whether there are enough replicas without one of the
+// instance that asks. Its own former replica makes place for the new one.
+func (w *World) crowded(now time.Time, row *replicaRow, members []Member, instance string) bool {
+	useful := 0
+	for _, m := range members {
+		if m.instance != instance && !w.retiring(m.instance) && w.heard(now, row, m) {
+			useful++
+		}
+	}
+	return useful >= w.target+standbys
+}
+
 // setMembers appends a new member list and adjusts the progress rows.
 func (w *World) setMembers(now time.Time, row *replicaRow, members []Member) {
 	w.appendOwn(row, Entry{kind: EntryMembers, members: members})
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -29,6 +29,7 @@
 	maxRoundHistory = 64
 	lostAfter       = 1500 * time.Millisecond // silence after which a voter is replaced
 	forgetAfter     = 20 * time.Second        // silence after which a learner is dropped
+	standbys        = 2                       // learners that wait to replace a voter
 )
 
 // Errors of Propose.
@@ -112,8 +113,8 @@
 	}
 }
 
-// WithVoters keeps target voters in each ledger. Further replicas stay learners
-// until a voter is lost. place names the data centre of an instance, so that
+// WithVoters keeps target voters in each ledger. A few further replicas are
+// learners until a voter is lost; others are not taken in. place names the data centre of an instance, so that
 // voters are spread; retiring marks instances whose replicas must be moved off.
 func WithVoters(target int, place func(instance string) string, retiring func(instance string) bool) Option {
 	return func(w *World) { w.target, w.place, w.retiring = target, place, retiring }
--- a/core/usage/world.go
+++ b/core/usage/world.go
@@ -90,6 +90,21 @@
 // Online returns the online requests on a backend server.
 func (w *World) Online(backend string) int { return w.online[backend] }
 
+// Sum returns all reports as one.
+func (w *World) Sum() Report {
+	running := make(map[string]int, len(w.online))
+	for backend, online := range w.online {
+		running[backend] = online
+	}
+	return NewReport(running)
+}
+
+// Reset drops all reports.
+func (w *World) Reset() {
+	w.reports = table.New[string, row]()
+	clear(w.online)
+}
+
 // Each visits the backend servers with online requests.
 func (w *World) Each(visit func(backend string, online int)) {
 	for backend, online := range w.online {
--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -4,11 +4,16 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"papayaquay/core/member"
 	"papayaquay/core/runner"
 )
 
+// readPause gathers the events of an item, whose latency does not matter, into
+// fewer reads.
+const readPause = 100 * time.Millisecond
+
 // partEvents is the number of events after which a part of an output is told.
 const partEvents = 48
 
@@ -40,7 +45,7 @@
 		drain(a.response.Body)
 		return runner.EndFailed, nil, last
 	}
-	text, newest, err := collectEvents(a.response.Body, last, part)
+	text, newest, err := collectEvents(ctx, a.response.Body, last, part)
 	switch {
 	case err == io.EOF:
 		return runner.EndDone, text, newest
@@ -52,7 +57,7 @@
 
 // collectEvents reads events until the body ends; the error is io.EOF when it
 // ended well.
-func collectEvents(body io.Reader, last uint64, part func(text []byte, last uint64)) ([]byte, uint64, error) {
+func collectEvents(ctx context.Context, body io.Reader, last uint64, part func(text []byte, last uint64)) ([]byte, uint64, error) {
 	events := scanner{last: last}
 	told := last
 	var text []byte
@@ -77,5 +82,16 @@
 			}
 			return text, events.last, err
 		}
+		pause(ctx, readPause)
+	}
+}
+
+// pause waits for a time or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
