A lapse of the lease alone does not start items anew

Ruled out: attempts of an earlier lead (TestRegainedLead). Change: items run from the first lease of a term on as long as the term lasts; without the lease none is started; a result that does not fit is run again. Test: TestLeaseGap, seen failing before.

--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -33,7 +33,8 @@
 	waiters  *table.Table[askerKey, waiterRow]
 	expireAt time.Time
 	encoding bool
-	led      bool // led the ledger in the last tick
+	led      bool   // ran items in the last tick
+	term     uint64 // term in which this instance may run items
 }
 
 // newJobsHost returns the sub-world in its initial state.
@@ -58,19 +59,20 @@
 	}
 	h.usage.Run(now)
 	leads := w.ledgers.Leads(now, JobsLedger)
-	h.runner.Lead(now, leads, h.state)
-	if leads != h.led {
-		h.led = leads
+	runs := w.runsItems(leads)
+	h.runner.Lead(now, runs, h.state)
+	if runs != h.led {
+		h.led = runs
 		h.usage.Reset()
 	}
-	if !leads {
+	if !runs {
 		if w.share.collect {
 			w.share.set(h.usage.Sum())
 		}
 		return
 	}
 	w.share.active = false
-	h.runner.View(w.config, w.directory.Servers(now))
+	h.runner.View(w.config, w.directory.Servers(now), leads)
 	h.runner.Run(now)
 	if finishes := h.runner.Output(); len(finishes) > 0 {
 		w.proposeBatch(batch.Complete(finishes))
@@ -83,6 +85,23 @@
 	}
 }
 
+// runsItems reports whether this instance runs the items: from the first lease
+// of a term on, as long as it is the leader of that term. A lapse of the lease
+// alone must not start them anew, since output proposed before is still to be
+// committed.
+func (w *World) runsItems(leads bool) bool {
+	for _, s := range w.ledgers.Statuses() {
+		if s.Role() != ledger.RoleLeader {
+			return false
+		}
+		if leads {
+			w.jobs.term = s.Term()
+		}
+		return w.jobs.term == s.Term()
+	}
+	return false
+}
+
 // proposeBatch proposes a command of this leader's own.
 func (w *World) proposeBatch(c batch.Command) {
 	payload, err := w.codec.Batch.Encode(c)
@@ -123,7 +142,7 @@
 	case batch.CommandFinish:
 		for _, f := range command.Finishes() {
 			if j, ok := h.state.Job(f.Job()); ok {
-				h.runner.Settled(j)
+				h.runner.Settled(j, f)
 			}
 		}
 	}
--- a/core/cluster/scenario_test.go
+++ b/core/cluster/scenario_test.go
@@ -267,3 +267,31 @@
 		})
 	}
 }
+
+// TestLeaseGap checks that a leader of the jobs ledger whose lease lapses for a
+// moment goes on with its attempts: output that was proposed before and is
+// committed afterwards must still fit what follows.
+func TestLeaseGap(t *testing.T) {
+	s := newTestSystem(t, 3)
+	s.run(4 * time.Second)
+	s.c.Assert(s.configure("c0", 5), qt.Equals, call.StatusDone)
+	s.announce("c0", "b1", 1)
+	s.run(time.Second)
+	s.c.Assert(s.submit("e0", "job", 1), qt.Equals, call.StatusDone)
+	s.run(500 * time.Millisecond)
+	leader := s.leader(directory.KindStore)
+	first := leader.attempts[0]
+	s.cut = func(from, to string) bool { return from[0] == 's' && to[0] == 's' }
+	leader.inbox = append(leader.inbox, ItemEnded(runner.NewOutcome(first.Number(), runner.EndPart, []byte("one"), 30)))
+	s.run(850 * time.Millisecond) // longer than the lease, shorter than an election timeout
+	s.c.Assert(leader.world.ledgers.Leads(s.now, JobsLedger), qt.IsFalse)
+	s.cut = func(string, string) bool { return false }
+	s.run(500 * time.Millisecond)
+	s.c.Assert(s.leader(directory.KindStore), qt.Equals, leader)
+	s.c.Assert(leader.attempts, qt.HasLen, 1)
+	leader.inbox = append(leader.inbox, ItemEnded(runner.NewOutcome(first.Number(), runner.EndDone, []byte("two"), 40)))
+	s.run(500 * time.Millisecond)
+	p, _ := s.page("e0", "job", 0)
+	s.c.Assert(p.Results(), qt.HasLen, 1)
+	s.c.Assert(string(p.Results()[0].Text()), qt.Equals, "one\ntwo")
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -72,6 +72,7 @@
 	JobGivenUp    = Event{422, slog.LevelWarn, "the waiting items of a job were given up"}
 	JobAnswered   = Event{423, slog.LevelInfo, "a call about a batch job was answered"}
 	RunnerChanged = Event{424, slog.LevelInfo, "this instance starts or stops running batch items"}
+	ResultRefused = Event{425, slog.LevelWarn, "the result of an item did not follow its stored output"}
 	ConfigApplied = Event{500, slog.LevelDebug, "a configuration revision is in force"}
 )
 
@@ -93,7 +94,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnounceRefused, PeerRefused,
 		AttemptFailed, BackendLost, RequestPoison,
-		RequestServed, RequestSent, ItemEnded, ItemYielded, JobGivenUp, JobAnswered, RunnerChanged,
+		RequestServed, RequestSent, ItemEnded, ItemYielded, JobGivenUp, JobAnswered, RunnerChanged, ResultRefused,
 		ConfigApplied, ConfigAnswered, ConfigDecided,
 		UpstreamLost, UpstreamFound, FoundersChosen, MemberList,
 	}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -39,7 +39,7 @@
 		d.Announce(r.now, member.NewBackend(fmt.Sprintf("b%d", i), fmt.Sprintf("b%d:1", i), "z", member.ProtocolEngine, 4, 1, 1, member.WithServices("s")))
 	}
 	list = d.Servers(r.now)
-	r.world.View(config, list)
+	r.world.View(config, list, true)
 	r.world.Lead(r.now, true, r.state)
 	r.now = r.now.Add(leadPause)
 	r.submit("job", items, 18*time.Second)
--- a/core/runner/system_take.go
+++ b/core/runner/system_take.go
@@ -103,9 +103,19 @@
 	w.finishes = append(w.finishes, batch.NewFinish(key.job, result, from))
 }
 
-// Settled drops a job whose items all have results.
-func (w *World) Settled(j batch.Job) {
+// Settled takes what became of a result: a job whose items all have results is
+// dropped, an item whose result did not fit the stored output starts again.
+func (w *World) Settled(j batch.Job, f batch.Finish) {
 	if !j.Open() {
 		w.Drop(j.Order().ID())
+		return
+	}
+	job, item := w.jobs.Get(f.Job()), f.Result().Item()
+	if job == nil || f.Result().Verdict() == 0 || !j.Waits(item) {
+		return
 	}
+	stored := j.Part(item).Last()
+	event.ResultRefused.Log(w.logger, "job", f.Job(), "item", item, "from", f.From(), "stored", stored)
+	w.progress.Put(itemKey{f.Job(), item}, progressRow{last: stored, saved: stored})
+	job.again = append(job.again, item)
 }
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -59,6 +59,7 @@
 	expireAt time.Time
 	waiting  bool // items wait for a slot or a pause
 	fillAt   time.Time
+	mayStart bool
 }
 
 // Option changes a world at construction.
@@ -166,9 +167,10 @@
 	}
 }
 
-// View takes the configuration and the backend servers.
-func (w *World) View(config *routing.Config, servers []directory.Server) {
-	w.config, w.servers = config, servers
+// View takes the configuration, the backend servers and whether attempts may be
+// started now.
+func (w *World) View(config *routing.Config, servers []directory.Server, start bool) {
+	w.config, w.servers, w.mayStart = config, servers, start
 }
 
 // Batch returns the items that run on a server.
@@ -192,7 +194,7 @@
 	}
 	w.yield(now)
 	w.expire(now)
-	if now.Before(w.fillAt) {
+	if now.Before(w.fillAt) || !w.mayStart {
 		w.waiting = true
 		return
 	}
