--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -5,6 +5,7 @@
 
 	"papayaquay/core/call"
 	"papayaquay/core/directory"
+	"papayaquay/core/ledger"
 	"papayaquay/core/member"
 	"papayaquay/core/registry"
 )
@@ -31,7 +32,7 @@
 	case input.report != nil:
 		w.share.set(*input.report)
 	case input.seeds != nil:
-		w.seeds = input.seeds
+		w.seeds, w.upstream, w.contacts = input.seeds, nil, 0
 	case input.leave != nil:
 		w.leaving = input.leave
 	case input.work != nil:
@@ -124,7 +125,7 @@
 	}
 	for _, s := range w.ledgers.Statuses() {
 		term := uint64(0)
-		if w.ledgers.Leads(now, s.Ledger()) {
+		if s.Role() == ledger.RoleLeader {
 			term = s.Term()
 		}
 		fresh := len(s.Members()) == 0
--- a/core/cluster/system_ledger.go
+++ b/core/cluster/system_ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"papayaquay/core/call"
@@ -52,10 +53,10 @@
 
 // setContacts tells the ledger where other replicas may be.
 func (w *World) setContacts(id ledger.ID) {
-	if w.contacts == w.directory.Version() {
+	if w.contacts == w.directory.Set() {
 		return
 	}
-	w.contacts = w.directory.Version()
+	w.contacts = w.directory.Set()
 	var contacts []string
 	for _, n := range w.directory.Nodes(w.self.Kind()) {
 		contacts = append(contacts, n.Address())
@@ -124,18 +125,26 @@
 	event.LedgerRestored.Log(w.logger, "ledger", w.hosted(), "index", s.Index())
 }
 
-// noteMembers logs a new member list.
+// memberKey tells whether a member list was logged.
+type memberKey struct {
+	leader string
+	term   uint64
+	index  uint64
+}
+
+// noteMembers logs a new leader or member list.
 func (w *World) noteMembers() {
 	for _, s := range w.ledgers.Statuses() {
-		text := s.Leader()
-		for _, m := range s.Members() {
-			text += fmt.Sprintf(" %s:%s:%t", m.Instance(), m.Replica(), m.Voter())
-		}
-		if text == w.noted {
+		key := memberKey{leader: s.Leader(), term: s.Term(), index: s.MembersIndex()}
+		if key == w.noted {
 			continue
 		}
-		w.noted = text
+		w.noted = key
+		text := ""
+		for _, m := range s.Members() {
+			text += fmt.Sprintf(" %s:%t", m.Replica(), m.Voter())
+		}
 		event.MemberList.Log(w.logger, "ledger", s.Ledger(), "role", s.Role().String(), "term", s.Term(),
-			"commit", s.Commit(), "leader", s.Leader(), "members", text)
+			"commit", s.Commit(), "leader", s.Leader(), "members", strings.TrimSpace(text))
 	}
 }
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -18,8 +18,12 @@
 	JobsLedger    ledger.ID = "jobs"
 )
 
-// publishEvery bounds the age of what a snapshot says of silence.
-const publishEvery = time.Second
+// Times between snapshots: the age of what they say of silence, and how often
+// they follow changes of the directory, which the choice of servers can wait for.
+const (
+	publishEvery = time.Second
+	publishPause = 50 * time.Millisecond
+)
 
 // World is the control world. It belongs to one goroutine.
 type World struct {
@@ -50,14 +54,17 @@
 	config   *routing.Config
 	founders []ledger.Member
 
-	now         time.Time
-	again       bool
-	stale       bool
-	contacts    uint64 // directory version that the ledger's contacts show
-	noted       string // member list that was logged last
-	publishedAt time.Time
-	publishedOf uint64
-	leaving     func(left int)
+	now             time.Time
+	again           bool
+	stale           bool
+	contacts        uint64   // set of instances that the ledger's contacts show
+	upstream        []string // control instances that may be followed
+	upstreamOf      uint64   // set of instances that they were taken from
+	noted           memberKey
+	publishedAt     time.Time
+	publishedOf     uint64
+	publishedUrgent uint64
+	leaving         func(left int)
 }
 
 // Option changes a world at construction.
@@ -157,6 +164,15 @@
 
 // controls returns the control instances that may be followed.
 func (w *World) controls() []string {
+	if w.upstream != nil && w.upstreamOf == w.directory.Set() {
+		return w.upstream
+	}
+	w.upstream, w.upstreamOf = w.findControls(), w.directory.Set()
+	return w.upstream
+}
+
+// findControls collects the control instances: known ones, seeds and members.
+func (w *World) findControls() []string {
 	var addresses []string
 	seen := map[string]bool{w.self.Address(): true}
 	add := func(address string) {
@@ -230,9 +246,13 @@
 
 // publishSnapshot hands out what changed for traffic.
 func (w *World) publishSnapshot(now time.Time) {
-	if !w.stale && w.publishedOf == w.directory.Version() && now.Sub(w.publishedAt) < publishEvery {
+	age := now.Sub(w.publishedAt)
+	changed := w.publishedOf != w.directory.Version() && age >= publishPause
+	urgent := w.publishedUrgent != w.directory.Urgent()
+	if !w.stale && !changed && !urgent && age < publishEvery {
 		return
 	}
+	w.publishedUrgent = w.directory.Urgent()
 	w.stale, w.publishedAt, w.publishedOf = false, now, w.directory.Version()
 	s := NewSnapshot(w.config, w.directory.Servers(now), w.share.loads)
 	s.document = w.document
--- a/core/directory/world.go
+++ b/core/directory/world.go
@@ -13,6 +13,7 @@
 	nodeExpiry     = 8 * time.Second  // without a word of an instance
 	backendExpiry  = 60 * time.Second // without an announcement
 	refreshEvery   = 2 * time.Second  // between changes for unchanged instances
+	forgetEvery    = 500 * time.Millisecond
 )
 
 // nodeRow is what is known of an instance.
@@ -61,6 +62,8 @@
 	epoch    uint64
 	version  uint64
 	urgent   uint64
+	set      uint64 // grows when an instance comes or goes
+	forgetAt time.Time
 	silence  time.Duration
 	nodes    *table.Table[string, nodeRow]
 	backends *table.Table[string, backendRow]
@@ -78,6 +81,9 @@
 // Version grows with every change.
 func (w *World) Version() uint64 { return w.version }
 
+// Set grows when an instance comes or goes.
+func (w *World) Set() uint64 { return w.set }
+
 // Urgent grows with every change that followers must hear of at once: new and
 // leaving servers, new instances and leaders.
 func (w *World) Urgent() uint64 { return w.urgent }
@@ -97,6 +103,9 @@
 	if n.kind != KindEntry {
 		w.urgent++
 	}
+	if row == nil {
+		w.set++
+	}
 	w.tell(now, w.nodes.Put(n.address, nodeRow{node: n, heard: now}))
 	return true
 }
@@ -196,10 +205,15 @@
 
 // Run forgets what was not heard of for long.
 func (w *World) Run(now time.Time) {
+	if now.Before(w.forgetAt) {
+		return
+	}
+	w.forgetAt = now.Add(forgetEvery)
 	w.nodes.Each(func(address string, row *nodeRow) {
 		if now.Sub(row.heard) > nodeExpiry {
 			w.nodes.Remove(address)
 			w.version++
+			w.set++
 		}
 	})
 	w.backends.Each(func(id string, row *backendRow) {
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -12,6 +12,7 @@
 	commit  uint64
 	last    uint64
 	members []Member
+	index   uint64
 }
 
 // Ledger returns the ledger's id.
@@ -38,14 +39,17 @@
 // Members returns the newest member list.
 func (s Status) Members() []Member { return s.members }
 
+// MembersIndex returns the index that set the newest member list.
+func (s Status) MembersIndex() uint64 { return s.index }
+
 // Statuses returns the status of all hosted replicas.
 func (w *World) Statuses() []Status {
 	var statuses []Status
 	w.replicas.Each(func(id ID, row *replicaRow) {
-		members, _ := row.log.members()
+		members, index := row.log.members()
 		statuses = append(statuses, Status{
 			ledger: id, replica: row.self, role: row.role, term: row.term,
-			leader: row.leaderInstance, commit: row.commit, last: row.log.lastIndex(), members: members,
+			leader: row.leaderInstance, commit: row.commit, last: row.log.lastIndex(), members: members, index: index,
 		})
 	})
 	return statuses
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -23,7 +23,7 @@
 	ledgerHeartbeat       = 120 * time.Millisecond
 	ledgerElectionFloor   = 500 * time.Millisecond
 	ledgerElectionCeiling = 800 * time.Millisecond
-	ledgerLease           = 400 * time.Millisecond
+	ledgerLease           = 450 * time.Millisecond
 )
 
 // usageReport is what an entry runs by backend server.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -103,7 +103,7 @@
 				continue
 			}
 		}
-		if l.write(ctx, rpc, conn, p) != nil {
+		if l.write(rpc, conn, p) != nil {
 			rpc.Close()
 			rpc, failedAt = nil, time.Now()
 		}
@@ -171,7 +171,7 @@
 }
 
 // write sends one packet.
-func (l *link) write(ctx context.Context, rpc *jsonrpc2.Conn, conn net.Conn, encode func() ([]byte, error)) error {
+func (l *link) write(rpc *jsonrpc2.Conn, conn net.Conn, encode func() ([]byte, error)) error {
 	data, err := encode()
 	if err != nil {
 		return nil // a packet that cannot be encoded is not the connection's fault
@@ -184,5 +184,5 @@
 		return errors.New("connection closed")
 	default:
 	}
-	return errors.Wrap(rpc.Notify(ctx, methodDeliver, envelope{Packet: data}), "notify")
+	return writePacket(conn, data)
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"papayaquay/core/event"
@@ -23,16 +24,10 @@
 
 // Methods of the protocol.
 const (
-	methodHello   = "hello"
-	methodProve   = "prove"
-	methodDeliver = "deliver"
+	methodHello = "hello"
+	methodProve = "prove"
 )
 
-// envelope is the parameter of methodDeliver.
-type envelope struct {
-	Packet []byte `json:"packet"`
-}
-
 // Server accepts connections of other instances.
 type Server struct {
 	name    string
@@ -100,7 +95,7 @@
 	codec     frameCodec
 	from      string
 	challenge challenge
-	trusted   bool
+	trusted   atomic.Bool
 }
 
 // serve handles one connection until it ends.
@@ -112,13 +107,14 @@
 		conn.Close()
 	}()
 	x := &session{server: s, conn: conn, codec: newFrameCodec()}
+	x.codec.packet = x.receive
 	if err := conn.SetDeadline(time.Now().Add(greetingTimeout)); err != nil {
 		return
 	}
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, x.codec), jsonrpc2.HandlerWithError(x.handle),
 		jsonrpc2.SetLogger(quiet{}))
 	<-rpc.DisconnectNotify()
-	if !x.trusted {
+	if !x.trusted.Load() {
 		event.PeerRefused.Log(s.logger, "remote", conn.RemoteAddr().String(), "name", x.from)
 	}
 }
@@ -145,8 +141,6 @@
 		return c, err
 	case methodProve:
 		return nil, x.prove(rpc, *r.Params)
-	case methodDeliver:
-		return nil, x.receive(rpc, *r.Params)
 	}
 	return nil, x.refuse(rpc)
 }
@@ -163,22 +157,18 @@
 	if json.Unmarshal(params, &p) != nil || x.challenge.Nonce == "" || !accepts(x.server.keys(), x.from, x.challenge, p) {
 		return x.refuse(rpc)
 	}
-	x.trusted = true
+	x.trusted.Store(true)
 	x.codec.trust()
 	return x.conn.SetDeadline(time.Time{})
 }
 
-// receive decodes and hands on one packet.
-func (x *session) receive(rpc *jsonrpc2.Conn, params []byte) error {
-	var e envelope
-	if !x.trusted || json.Unmarshal(params, &e) != nil {
-		return x.refuse(rpc)
+// receive hands on one packet of a sender that proved the key.
+func (x *session) receive(data []byte) error {
+	if !x.trusted.Load() {
+		return errors.Wrap(ErrMisdirected, "packet before the proof")
 	}
 	if err := x.conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
-	if x.server.deliver(x.from, e.Packet) != nil {
-		return x.refuse(rpc)
-	}
-	return nil
+	return x.server.deliver(x.from, data)
 }
