--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -212,8 +212,10 @@
 	e := newTestEntry(t, 8, cluster.Loads{"b0": usage.NewLoad(8, 0), "b2": usage.NewLoad(8, 0), "b4": usage.NewLoad(8, 0), "b6": usage.NewLoad(8, 0)})
 	var probed []string
 	e.world.probe = func(backend, _ string) { probed = append(probed, backend) }
-	e.submit(false, 1, NewProgress())
-	e.c.Assert(e.last().Backend().DataCentre(), qt.Equals, "z1")
+	for range 6 {
+		e.submit(false, 1, NewProgress())
+		e.c.Assert(e.last().Backend().DataCentre(), qt.Equals, "z1")
+	}
 	e.snapshot = newTestEntry(t, 8, nil).snapshot
 	for len(probed) == 0 {
 		e.step(watchEvery)
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -137,8 +137,9 @@
 	runs     int      // attempts that may have run
 	backend  string   // of the current attempt
 	sentAt   time.Time
-	headAt   time.Time // of the newest answer's head
-	left     bool      // the attempt was abandoned
+	headAt   time.Time     // of the newest answer's head
+	patience time.Duration // without bytes before the attempt counts as silent
+	left     bool          // the attempt was abandoned
 }
 
 // serverRow is what this entry knows of a backend server by its own requests.
@@ -150,6 +151,8 @@
 	paused   time.Time
 	quiet    time.Duration // since bytes came from it, as of the last look
 	silent   bool          // no attempt there makes progress
+	alive    bool          // some attempt there makes progress
+	usedAt   time.Time     // end of the last answer
 	suspect  bool          // out of use until a connection can be opened
 	probing  bool          // a connection is being opened
 	address  string
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -95,6 +95,18 @@
 	return float64(state.load.pace) / usualPace
 }
 
+// Preference for servers with a kept connection.
+const (
+	warmWeight = 3
+	warmFor    = 8 * time.Second // connections are kept a little longer
+)
+
+// warm reports whether a kept connection to a server is likely to be free.
+func (w *World) warm(now time.Time, id string) bool {
+	state := w.servers.Get(id)
+	return state != nil && state.inFlight == 0 && now.Sub(state.usedAt) < warmFor
+}
+
 // Pace of servers.
 const (
 	usualPace = 100 // percent
@@ -116,6 +128,9 @@
 			continue
 		}
 		weight := free * free / w.pace(now, s.Backend().ID())
+		if w.warm(now, s.Backend().ID()) {
+			weight *= warmWeight
+		}
 		if s.Backend().DataCentre() == w.zone {
 			weight *= nearWeight
 		}
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -54,7 +54,7 @@
 func (w *World) judge(now time.Time, server *serverRow, end End) {
 	switch end {
 	case EndAnswered:
-		server.failures = 0
+		server.failures, server.usedAt = 0, now
 	case EndNotRun:
 		server.paused = now.Add(fullPause)
 	case EndUnreachable, EndLost, EndBroken:
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -19,14 +19,18 @@
 	}
 	w.forget(now)
 	w.requests.Each(func(_ uint64, row *requestRow) {
-		if row.backend != "" {
-			server := w.server(row.backend)
-			server.quiet = min(server.quiet, row.progress.since(now, row.sentAt))
+		if row.backend == "" {
+			return
 		}
+		server := w.server(row.backend)
+		quiet := row.progress.since(now, row.sentAt)
+		server.quiet = min(server.quiet, quiet)
+		server.alive = server.alive || quiet < row.patience
 	})
 	w.servers.Each(func(_ string, row *serverRow) {
-		silent := row.inFlight > 0 && row.quiet > silentAfter
+		silent := row.inFlight > 0 && !row.alive && row.quiet > silentAfter
 		if silent && !row.silent {
+			row.silent = true
 			w.doubt(now, row.zone)
 		}
 		row.silent = silent
@@ -47,19 +51,33 @@
 		known[s.Backend().ID()] = true
 	}
 	w.servers.Each(func(id string, row *serverRow) {
-		row.quiet = now.Sub(row.loadAt)
+		row.quiet, row.alive = now.Sub(row.loadAt), false
 		if row.inFlight == 0 && (!known[id] || (!row.suspect && now.After(row.paused) && row.quiet > forgetAfter)) {
 			w.servers.Remove(id)
 		}
 	})
 }
 
-// doubt has all servers of another data centre probed after one of them went
-// silent: a cut between data centres would cost a request for each otherwise.
+// doubtful is the number of servers of another data centre in trouble at which
+// the others there are probed.
+const doubtful = 2
+
+// doubt has all servers of another data centre probed after several of them
+// went silent: a cut between data centres would cost a request for each
+// otherwise.
 func (w *World) doubt(now time.Time, zone string) {
 	if zone == w.zone || now.Sub(w.doubted[zone]) < doubtPause {
 		return
 	}
+	troubled := 0
+	w.servers.Each(func(_ string, row *serverRow) {
+		if row.zone == zone && (row.silent || row.suspect) {
+			troubled++
+		}
+	})
+	if troubled < doubtful {
+		return
+	}
 	w.doubted[zone] = now
 	for _, s := range w.snapshot().Servers() {
 		if b := s.Backend(); b.DataCentre() == zone {
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -19,6 +19,7 @@
 	loadFresh    = 150 * time.Millisecond // age at which a server's own report is void
 
 	silentAfter  = 350 * time.Millisecond // without bytes before a server is left out
+	queuedAfter  = time.Second            // the same where the request may have to wait for a slot
 	abandonAfter = 600 * time.Millisecond // without bytes before a repeatable attempt is given up
 	watchEvery   = 50 * time.Millisecond
 	probePause   = 300 * time.Millisecond // between probes of a suspect server
@@ -166,7 +167,10 @@
 	server.inFlight++
 	server.zone, server.address = backend.DataCentre(), backend.Address()
 	w.changed = true
-	row.backend, row.sentAt, row.left = backend.ID(), now, false
+	row.backend, row.sentAt, row.left, row.patience = backend.ID(), now, false, silentAfter
+	if choice.online+choice.batch >= backend.Slots() {
+		row.patience = queuedAfter
+	}
 	event.RequestSent.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "attempt", len(row.tried)+1,
 		"in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates)
 	row.decide(Decision{action: ActionSend, number: number, backend: backend})
