--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -61,10 +61,15 @@
 		server.paused = now.Add(min(failurePause<<min(server.failures, 10), maxPause))
 		server.failures++
 		// One lost answer says little of a server; one that cannot be reached,
-		// or loses again, must not cost another request.
-		server.suspect = end == EndUnreachable || server.silent || server.failures > 1
-		if end == EndUnreachable {
-			w.doubt(now, server.zone)
+		// breaks off or loses again must not cost another request.
+		server.suspect = end != EndLost || server.silent || server.failures > 1
+		if server.suspect {
+			// Answers that break off are rare but where links are reset.
+			enough := doubtful
+			if end == EndBroken {
+				enough = 1
+			}
+			w.doubt(now, server.zone, enough)
 		}
 	}
 }
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -31,7 +31,7 @@
 		silent := row.inFlight > 0 && !row.alive && row.quiet > silentAfter
 		if silent && !row.silent {
 			row.silent = true
-			w.doubt(now, row.zone)
+			w.doubt(now, row.zone, doubtful)
 		}
 		row.silent = silent
 	})
@@ -62,10 +62,10 @@
 // the others there are probed.
 const doubtful = 2
 
-// doubt has all servers of another data centre probed after several of them
-// went silent: a cut between data centres would cost a request for each
+// doubt has all servers of another data centre probed once so many of them are
+// in trouble: a cut between data centres would cost a request for each
 // otherwise.
-func (w *World) doubt(now time.Time, zone string) {
+func (w *World) doubt(now time.Time, zone string, enough int) {
 	if zone == w.zone || now.Sub(w.doubted[zone]) < doubtPause {
 		return
 	}
@@ -75,7 +75,7 @@
 			troubled++
 		}
 	})
-	if troubled < doubtful {
+	if troubled < enough {
 		return
 	}
 	w.doubted[zone] = now
