--- /dev/null
+++ b/core/batch/state_test.go
@@ -0,0 +1,150 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// order returns a job of items with ten tokens each.
+func order(id string, items, limit int) Order {
+	var list []Item
+	for i := range items {
+		list = append(list, NewItem(fmt.Sprint(id, i), "/p", nil, []byte("body"), 10))
+	}
+	now := time.Unix(1000, 0)
+	return NewOrder(id, "r", "h", list, WithTimes(now, now.Add(time.Second), now.Add(time.Minute)), WithBounds(limit, 3))
+}
+
+// TestApply checks the answers of commands and what they leave waiting.
+func TestApply(t *testing.T) {
+	done := func(job string, item int) Finish { return NewFinish(job, NewResult(item, VerdictDone, nil), 0) }
+	for _, test := range []struct {
+		name     string
+		commands []Command
+		answer   Answer // of the last command
+		waiting  int
+	}{
+		{"accepted", []Command{Submit(order("a", 3, 0))}, AnswerDone, 30},
+		{"accepted once", []Command{Submit(order("a", 3, 0)), Submit(order("a", 3, 0))}, AnswerDone, 30},
+		{"too many tokens", []Command{Submit(order("a", 3, 50)), Submit(order("b", 3, 50))}, AnswerFull, 30},
+		{"room again", []Command{Submit(order("a", 3, 50)), Complete([]Finish{done("a", 0)}), Submit(order("b", 3, 50))}, AnswerDone, 50},
+		{"repeated while full", []Command{Submit(order("a", 3, 30)), Submit(order("a", 3, 30))}, AnswerDone, 30},
+		{"finished twice", []Command{Submit(order("a", 3, 0)), Complete([]Finish{done("a", 0), done("a", 0)})}, AnswerDone, 20},
+		{"ended", []Command{Submit(order("a", 3, 0)), End("a")}, AnswerDone, 0},
+		{"ended twice", []Command{Submit(order("a", 3, 0)), End("a"), End("a")}, AnswerDone, 0},
+		{"finished after its end", []Command{Submit(order("a", 3, 0)), End("a"), Complete([]Finish{done("a", 1)})}, AnswerDone, 0},
+		{"end of an unknown job", []Command{End("a")}, AnswerUnknown, 0},
+		{"open jobs do not expire", []Command{Submit(order("a", 1, 0)), Expire(time.Unix(9000, 0)), End("a")}, AnswerDone, 0},
+		{"ended jobs expire", []Command{Submit(order("a", 1, 0)), End("a"), Expire(time.Unix(9000, 0)), End("a")}, AnswerUnknown, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := New()
+			var answer Answer
+			for _, c := range test.commands {
+				answer = s.Apply(c)
+			}
+			qt.Assert(t, answer, qt.Equals, test.answer)
+			qt.Assert(t, s.Waiting("r"), qt.Equals, test.waiting)
+		})
+	}
+}
+
+// TestParts checks that output is joined in order and that what does not follow
+// it changes nothing.
+func TestParts(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		finishes []Finish
+		text     string // of the result, empty while the item waits
+	}{
+		{"whole", []Finish{NewFinish("a", NewResult(0, VerdictDone, []byte("x")), 0)}, "x"},
+		{"parts", []Finish{NewPart("a", 0, []byte("x"), 0, 3), NewPart("a", 0, []byte("y"), 3, 5),
+			NewFinish("a", NewResult(0, VerdictDone, []byte("z")), 5)}, "x\ny\nz"},
+		{"all in parts", []Finish{NewPart("a", 0, []byte("x"), 0, 3), NewFinish("a", NewResult(0, VerdictDone, nil), 3)}, "x"},
+		{"part told twice", []Finish{NewPart("a", 0, []byte("x"), 0, 3), NewPart("a", 0, []byte("x"), 0, 3),
+			NewFinish("a", NewResult(0, VerdictDone, []byte("z")), 3)}, "x\nz"},
+		{"gap", []Finish{NewPart("a", 0, []byte("x"), 0, 3), NewFinish("a", NewResult(0, VerdictDone, []byte("z")), 4)}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := New()
+			s.Apply(Submit(order("a", 1, 0)))
+			s.Apply(Complete(test.finishes))
+			j, _ := s.Job("a")
+			qt.Assert(t, j.Waits(0), qt.Equals, test.text == "")
+			if test.text != "" {
+				qt.Assert(t, string(j.Results()[0].Text()), qt.Equals, test.text)
+			}
+		})
+	}
+}
+
+// TestPage checks that reads end within their bound and never without a result.
+func TestPage(t *testing.T) {
+	big := make([]byte, MaxPageBytes*2/3)
+	s := New()
+	s.Apply(Submit(order("a", 4, 0)))
+	for i := range 3 {
+		s.Apply(Complete([]Finish{NewFinish("a", NewResult(i, VerdictDone, big), 0)}))
+	}
+	j, _ := s.Job("a")
+	for _, test := range []struct {
+		after, results, next int
+	}{{0, 1, 1}, {2, 1, 3}, {3, 0, 3}, {9, 0, 9}} {
+		p := j.Page(test.after)
+		qt.Check(t, p.Results(), qt.HasLen, test.results)
+		qt.Check(t, p.Next(), qt.Equals, test.next)
+		qt.Check(t, p.Total(), qt.Equals, 4)
+	}
+	body, ok := j.Body("a3")
+	qt.Check(t, ok && string(body) == "body", qt.IsTrue)
+	_, ok = j.Body("a0")
+	qt.Check(t, ok, qt.IsFalse)
+}
+
+// TestPositions checks over random commands that results keep their positions,
+// that no item stands at two of them, and that a restored state is the same.
+func TestPositions(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := New()
+		var seen []Result
+		s.Apply(Submit(order("a", 5, 0)))
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			item := rapid.IntRange(-1, 6).Draw(rt, "item")
+			from := uint64(rapid.IntRange(0, 3).Draw(rt, "from"))
+			verdict := Verdict(rapid.IntRange(0, 2).Draw(rt, "verdict"))
+			f := NewFinish("a", NewResult(item, verdict, []byte("x")), from)
+			if verdict == 0 {
+				f = NewPart("a", item, []byte("x"), from, from+1)
+			}
+			s.Apply(Complete([]Finish{f}))
+			if rapid.IntRange(0, 9).Draw(rt, "restore") == 0 {
+				var jobs []Job
+				for _, j := range s.Export() {
+					jobs = append(jobs, RestoreJob(j.Order(), j.Ended(), j.Results(), j.Parts()))
+				}
+				s = Restore(jobs, nil)
+			}
+			j, _ := s.Job("a")
+			for i, r := range seen {
+				if j.Results()[i].Item() != r.Item() || j.Results()[i].Verdict() != r.Verdict() {
+					rt.Fatalf("position %d moved", i)
+				}
+			}
+			seen = j.Results()
+			items := make(map[int]bool)
+			for _, r := range seen {
+				if items[r.Item()] {
+					rt.Fatalf("item %d stands twice", r.Item())
+				}
+				items[r.Item()] = true
+			}
+			if s.Waiting("r") != 10*(5-len(seen)) {
+				rt.Fatalf("%d tokens wait with %d results", s.Waiting("r"), len(seen))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/call/world_test.go
@@ -0,0 +1,55 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestCalls checks who is asked and how calls end.
+func TestCalls(t *testing.T) {
+	done := func(number uint64) Reply { return NewReply(number, StatusDone, nil) }
+	for _, test := range []struct {
+		name    string
+		leader  string
+		members []string
+		answer  func(address string, number uint64) (Reply, bool) // false for none
+		asked   []string
+		status  Status
+	}{
+		{"leader known", "a", []string{"a", "b"}, func(_ string, n uint64) (Reply, bool) { return done(n), true }, []string{"a"}, StatusDone},
+		{"redirected", "a", []string{"a", "b"}, func(address string, n uint64) (Reply, bool) {
+			if address == "a" {
+				return NewRedirect(n, "b"), true
+			}
+			return done(n), true
+		}, []string{"a", "b"}, StatusDone},
+		{"leader silent", "a", []string{"a", "b"}, func(address string, n uint64) (Reply, bool) { return done(n), address == "b" }, []string{"a", "b"}, StatusDone},
+		{"nobody known", "", nil, nil, nil, StatusUnsent},
+		{"nobody answers", "a", []string{"a"}, func(string, uint64) (Reply, bool) { return Reply{}, false }, []string{"a", "a"}, StatusTimeout},
+		{"unknown subject", "a", []string{"a"}, func(_ string, n uint64) (Reply, bool) { return NewReply(n, StatusUnknown, nil), true }, []string{"a"}, StatusUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			w := NewWorld(func(Target) (string, []string) { return test.leader, test.members })
+			var ended []Reply
+			w.Start(now, New(KindPropose, TargetJobs, now.Add(2*tryTimeout-time.Millisecond), nil), func(r Reply) { ended = append(ended, r) })
+			var asked []string
+			for range 400 {
+				for _, o := range w.Output() {
+					asked = append(asked, o.Address())
+					if reply, ok := test.answer(o.Address(), o.Request().Number()); ok {
+						w.Receive(now, o.Address(), reply)
+					}
+				}
+				now = now.Add(5 * time.Millisecond)
+				w.Run(now)
+			}
+			c.Assert(ended, qt.HasLen, 1)
+			c.Assert(ended[0].Status(), qt.Equals, test.status)
+			c.Assert(asked, qt.DeepEquals, test.asked)
+		})
+	}
+}
--- /dev/null
+++ b/io/record/cluster_test.go
@@ -0,0 +1,89 @@
+package record
+
+import (
+	"testing"
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/cluster"
+	"papayaquay/core/directory"
+	"papayaquay/core/ledger"
+	"papayaquay/core/member"
+	"papayaquay/core/registry"
+	"papayaquay/core/usage"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestClusterCodec checks that what is stored and sent comes back the same.
+func TestClusterCodec(t *testing.T) {
+	codec := NewClusterCodec()
+	now := time.UnixMilli(1_700_000_000_000).UTC()
+	item := batch.NewItem("i", "/p?x", []batch.Header{batch.NewHeader("A", "b")}, []byte{0, 255}, 7)
+	order := batch.NewOrder("j", "r", "h", []batch.Item{item}, batch.WithTimes(now, now.Add(time.Second), now.Add(time.Minute)), batch.WithBounds(9, 3))
+	members := []ledger.Member{ledger.NewMember("a#1", "a", true)}
+	node := directory.NewNode("a:1", "n", "z", directory.KindStore, 5, directory.WithRevision(2), directory.WithReplica("a#1", true), directory.WithTerm(4))
+	server := member.NewBackend("b", "b:1", "z", member.ProtocolEngine, 8, 3, 4, member.WithServices("s"), member.WithLeaving(true))
+	for _, test := range []struct {
+		name  string
+		check func(c *qt.C)
+	}{
+		{"submit", checkPair(codec.Batch, batch.Submit(order))},
+		{"results", checkPair(codec.Batch, batch.Complete([]batch.Finish{
+			batch.NewFinish("j", batch.NewResult(0, batch.VerdictDone, []byte("x")), 5), batch.NewPart("j", 0, []byte("y"), 2, 5)}))},
+		{"end", checkPair(codec.Batch, batch.End("j"))},
+		{"retire", checkPair(codec.Batch, batch.Retire("a:1"))},
+		{"document", checkPair(codec.Registry, registry.Configure(registry.NewDocument(7, []byte("{}"))))},
+		{"founders", checkPair(codec.Registry, registry.Found(members))},
+		{"departure", checkPair(codec.Registry, registry.Depart(registry.NewDeparture("b", 3)))},
+		{"registry", checkPair(codec.RegistryState, registry.Restore(registry.NewDocument(7, []byte("{}")), members, []registry.Departure{registry.NewDeparture("b", 3)}))},
+		{"poll", checkPair(codec.Following, cluster.NewFollowing(node, 1, 2, 3, true))},
+		{"news", checkPair(codec.News, cluster.NewNews(directory.NewUpdate(1, 2, []directory.Node{node}, []member.Backend{server}), registry.NewDocument(7, []byte("{}")), members))},
+		{"report", checkPair(codec.Report, usage.NewReport(map[string]int{"b": 2}))},
+		{"sums", checkPair(codec.Sums, cluster.NewSums(3, cluster.Loads{"b": usage.NewLoad(2, 1)}))},
+		{"query", checkPair(codec.Query, cluster.NewQuery("j", 4, "i"))},
+		{"page", checkPair(codec.Page, batch.NewPage(3, 2, []batch.PageResult{batch.NewPageResult("i", batch.VerdictDead, []byte("x"))}))},
+	} {
+		t.Run(test.name, func(t *testing.T) { test.check(qt.New(t)) })
+	}
+}
+
+// checkPair returns a check that a value survives encoding, compared by its
+// encoded form.
+func checkPair[T any](p cluster.Pair[T], value T) func(*qt.C) {
+	return func(c *qt.C) {
+		data, err := p.Encode(value)
+		c.Assert(err, qt.IsNil)
+		decoded, err := p.Decode(data)
+		c.Assert(err, qt.IsNil)
+		again, err := p.Encode(decoded)
+		c.Assert(err, qt.IsNil)
+		c.Assert(again, qt.DeepEquals, data)
+		for n := range data {
+			_, _ = p.Decode(data[:n]) // must not panic
+		}
+	}
+}
+
+// TestBatchSnapshot checks that a snapshot brings back jobs, results and parts.
+func TestBatchSnapshot(t *testing.T) {
+	c := qt.New(t)
+	items := []batch.Item{batch.NewItem("x", "/p", nil, []byte("1"), 5), batch.NewItem("y", "/p", nil, []byte("2"), 6)}
+	s := batch.New()
+	s.Apply(batch.Submit(batch.NewOrder("j", "r", "h", items)))
+	s.Apply(batch.Complete([]batch.Finish{batch.NewFinish("j", batch.NewResult(1, batch.VerdictDone, []byte("t")), 0), batch.NewPart("j", 0, []byte("p"), 0, 3)}))
+	s.Apply(batch.Retire("a:1"))
+	codec := NewClusterCodec()
+	data, err := codec.BatchState.Encode(cluster.NewBatchExport(s.Export(), s.Retirees()))
+	c.Assert(err, qt.IsNil)
+	export, err := codec.BatchState.Decode(data)
+	c.Assert(err, qt.IsNil)
+	restored := batch.Restore(export.Jobs(), export.Retirees())
+	j, ok := restored.Job("j")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(j.Waits(0), qt.IsTrue)
+	c.Assert(j.Waits(1), qt.IsFalse)
+	c.Assert(j.Part(0).Last(), qt.Equals, uint64(3))
+	c.Assert(restored.Waiting("r"), qt.Equals, 5)
+	c.Assert(restored.Retiring("a:1"), qt.IsTrue)
+}
--- a/io/settings/fleet.go
+++ b/io/settings/fleet.go
@@ -20,6 +20,13 @@
 	RoleStore   = "store"
 )
 
+// Default values of what a platform may leave out.
+const (
+	fleetStopBound = 8 * time.Second
+	fleetTolerated = 1
+	fleetMemoryMB  = 120
+)
+
 // fleetFile is the content of the settings file of a fleet instance.
 type fleetFile struct {
 	Name           string   `toml:"name"`
@@ -57,7 +64,7 @@
 
 // ParseFleet checks the text of a settings file; path names it in errors.
 func ParseFleet(path, text string) (*Fleet, error) {
-	content := fleetFile{LogLevel: "info", StopBound: duration(DefaultStopBound)}
+	content := fleetFile{LogLevel: "info", StopBound: duration(fleetStopBound), Tolerated: fleetTolerated, MemoryMB: fleetMemoryMB}
 	meta, err := toml.Decode(text, &content)
 	if err != nil {
 		return nil, invalid(path, decodeReason(err))
--- /dev/null
+++ b/io/settings/fleet_test.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+// fleetSample is a valid settings file of a control instance.
+const fleetSample = `name = "c1"
+role = "control"
+data_centre = "z"
+address = "10.0.0.1"
+peer_port = 7000
+metrics_port = 9464
+control_address = "10.0.0.1:8166"
+data_folder = "/data"
+seeds = ["10.0.0.1:8166", "10.0.0.2:8166"]
+first_start = true
+tolerated_machines = 1
+memory_mb = 200
+stop_bound = "8s"
+`
+
+// TestParseFleet checks what a good file means.
+func TestParseFleet(t *testing.T) {
+	c := qt.New(t)
+	s, err := ParseFleet("f", fleetSample)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Founds(), qt.IsTrue)
+	c.Assert(s.Voters(), qt.Equals, 3)
+	c.Assert(s.Seeds(), qt.DeepEquals, []string{"10.0.0.1:7000", "10.0.0.2:7000"})
+	c.Assert(s.PeerAddress(), qt.Equals, "10.0.0.1:7000")
+	s, err = ParseFleet("f", strings.Replace(fleetSample, "first_start = true", "first_start = false", 1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Founds(), qt.IsFalse)
+}
+
+// TestParseFleetInvalid checks that a wrong file is one line with file, key and
+// reason.
+func TestParseFleetInvalid(t *testing.T) {
+	for _, test := range []struct {
+		name, old, new, want string
+	}{
+		{"no name", `name = "c1"`, ``, "f: name: missing"},
+		{"unknown role", `"control"`, `"other"`, "f: role: must be entry, control or store"},
+		{"no IP number", `"10.0.0.1"`, `"host"`, `f: address: "host" is no IP number`},
+		{"port too large", `7000`, `70000`, "f: peer_port: must be 1 to 65535"},
+		{"no seeds", `["10.0.0.1:8166", "10.0.0.2:8166"]`, `[]`, "f: seeds: at least one address is needed"},
+		{"seed without port", `"10.0.0.2:8166"`, `"10.0.0.2"`, `f: seeds[1]: "10.0.0.2" is no address with a port`},
+		{"no folder", `data_folder = "/data"`, ``, "f: data_folder: missing"},
+		{"no listener", `control_address = "10.0.0.1:8166"`, ``, "f: control_address: missing"},
+		{"no memory", `memory_mb = 200`, `memory_mb = 0`, "f: memory_mb: must be at least 1"},
+		{"bad time", `"8s"`, `"soon"`, `f: stop_bound: `},
+		{"unknown key", `first_start = true`, "first_start = true\nother = 1", "f: other: unknown key"},
+		{"no TOML", `name = "c1"`, `name = `, "f: "},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Assert(strings.Contains(fleetSample, test.old), qt.IsTrue)
+			_, err := ParseFleet("f", strings.Replace(fleetSample, test.old, test.new, 1))
+			c.Assert(errors.Is(err, ErrInvalid), qt.IsTrue)
+			c.Assert(strings.HasPrefix(err.Error(), test.want), qt.IsTrue, qt.Commentf(err.Error()))
+			c.Assert(strings.Contains(err.Error(), "\n"), qt.IsFalse)
+		})
+	}
+}
+
+// TestLoadFleetMissing checks that a missing file is reported like a wrong one.
+func TestLoadFleetMissing(t *testing.T) {
+	_, err := LoadFleet(t.TempDir() + "/nothing.toml")
+	qt.Assert(t, errors.Is(err, ErrInvalid), qt.IsTrue)
+}
