A replica that refuses entries gets one message at a time; jobs' times by the steady clock

Found on the way: due times and expiry of jobs (time of day) were compared with the boot time clock, so no job was ever late or expired; times count from when a job was first seen, by the steady clock. Change: probing as in Raft; a server that is silent to control instances but answers stays in use; SIGHUP is caught from the start.

--- a/cmd_run.go
+++ b/cmd_run.go
@@ -35,6 +35,8 @@
 // run runs an instance until SIGTERM or SIGINT. The settings file may change
 // at any time; SIGHUP has it read at once.
 func run(ctx context.Context, c *cli.Command) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // first of all: without it the signal ends the process
 	path := c.String("config")
 	s, err := settings.LoadFleet(path)
 	if err != nil {
@@ -50,14 +52,12 @@
 	if err != nil {
 		return err
 	}
-	go reload(ctx, path, p, logger)
+	go reload(ctx, hup, path, p, logger)
 	return p.Run(ctx)
 }
 
 // reload takes over seeds from the settings file when it changed.
-func reload(ctx context.Context, path string, p *fleet.Process, logger *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func reload(ctx context.Context, hup <-chan os.Signal, path string, p *fleet.Process, logger *slog.Logger) {
 	tick := time.NewTicker(settingsPeriod)
 	defer tick.Stop()
 	changed := fileTime(path)
--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -135,7 +135,7 @@
 	switch command.Kind() {
 	case batch.CommandSubmit:
 		if j, ok := h.state.Job(command.Order().ID()); ok {
-			h.runner.Accept(j)
+			h.runner.Accept(w.now, j)
 		}
 	case batch.CommandEnd:
 		h.runner.Drop(command.Subject())
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -45,13 +45,23 @@
 		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) {
 			continue
 		}
-		if desperate || (!w.avoided(now, id) && !s.Silent()) {
+		if desperate || (!w.avoided(now, id) && (!s.Silent() || w.answers(now, id))) {
 			servers = append(servers, s)
 		}
 	}
 	return servers
 }
 
+// answers reports whether a server answered a request of this entry lately: one
+// that is cut off from the control instances only is still good.
+func (w *World) answers(now time.Time, id string) bool {
+	state := w.servers.Get(id)
+	return state != nil && now.Sub(state.usedAt) < answersFor
+}
+
+// answersFor is the age at which an answer says nothing of a server any more.
+const answersFor = 10 * time.Second
+
 // occupancy returns the online requests and batch items on a server as far as
 // known here.
 func (w *World) occupancy(now time.Time, id string) (online, batch int) {
--- a/core/ledger/replica.go
+++ b/core/ledger/replica.go
@@ -88,6 +88,8 @@
 	told        uint64 // commit index that was sent
 	ackedAt     time.Time
 	snapshotDue time.Time
+	probing     bool      // refused the last entries; one message at a time is sent
+	probeDue    time.Time // of the next message while probing
 }
 
 // formed reports whether the replica knows a member list.
--- a/core/ledger/system_replicate.go
+++ b/core/ledger/system_replicate.go
@@ -40,6 +40,10 @@
 		w.feedSnapshot(now, row, m, p, beat)
 		return
 	}
+	if p.probing {
+		w.probe(now, row, m, p, beat)
+		return
+	}
 	sent := false
 	for p.next-p.match <= appendWindow {
 		entries := limitBytes(row.log.after(p.next-1, appendEntries))
@@ -57,6 +61,21 @@
 	p.told = row.commit
 }
 
+// probe sends one message of entries to a member that refused some, and waits
+// for its answer: the messages under way are all refused too, and each refusal
+// would have everything sent again.
+func (w *World) probe(now time.Time, row *replicaRow, m Member, p *progressRow, beat bool) {
+	if now.Before(p.probeDue) {
+		if beat {
+			w.sendAppend(row, m, p.next-1, nil)
+		}
+		return
+	}
+	p.probeDue = now.Add(probeRetry)
+	w.sendAppend(row, m, p.next-1, limitBytes(row.log.after(p.next-1, appendEntries)))
+	p.told = row.commit
+}
+
 // feedSnapshot sends the snapshot, again only after snapshotRetry, and
 // heartbeats meanwhile.
 func (w *World) feedSnapshot(now time.Time, row *replicaRow, m Member, p *progressRow, beat bool) {
@@ -169,9 +188,14 @@
 	p.ackedAt = now
 	p.round = max(p.round, m.round)
 	if m.reject {
-		p.next = max(min(p.next, m.index+1), p.match+1)
+		next := max(min(p.next, m.index+1), p.match+1)
+		if !p.probing || next < p.next {
+			p.probeDue = now
+		}
+		p.next, p.probing = next, true
 		return
 	}
+	p.probing = false
 	p.match = max(p.match, m.index)
 	p.next = max(p.next, p.match+1)
 }
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -21,7 +21,8 @@
 	appendWindow    = 4096    // entries sent but not confirmed, for one replica
 	helloInterval   = 300 * time.Millisecond
 	helloFresh      = 2 * time.Second // age at which a hello answer is void
-	snapshotRetry   = 2 * time.Second
+	snapshotRetry   = 5 * time.Second
+	probeRetry      = 500 * time.Millisecond // between messages to a member that refused entries
 	learnerLag      = 64 // entries by which a learner may trail at promotion
 	applyPerTick    = 2048
 	transferRetry   = 5 * time.Second
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -13,6 +13,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// timeOfDay is how far the time of day is from the clock of the ticks.
+const timeOfDay = 50 * 365 * 24 * time.Hour
+
 // testRun is a runner with one job and what it started and stopped.
 type testRun struct {
 	c       *qt.C
@@ -52,9 +55,10 @@
 	for i := range items {
 		list = append(list, batch.NewItem(fmt.Sprint(id, i), "/p/x", nil, nil, 1))
 	}
-	r.state.Apply(batch.Submit(batch.NewOrder(id, "r", "h", list, batch.WithTimes(r.now, r.now.Add(due), r.now.Add(time.Minute)), batch.WithBounds(0, 3))))
+	day := r.now.Add(timeOfDay)
+	r.state.Apply(batch.Submit(batch.NewOrder(id, "r", "h", list, batch.WithTimes(day, day.Add(due), day.Add(time.Minute)), batch.WithBounds(0, 3))))
 	j, _ := r.state.Job(id)
-	r.world.Accept(j)
+	r.world.Accept(r.now, j)
 }
 
 // tick runs the systems after some time.
@@ -233,6 +237,28 @@
 	r.c.Assert(order, qt.DeepEquals, []string{"job", "latest", "sooner"})
 }
 
+// TestExpiry checks that waiting items are given up when they may be, not
+// sooner.
+func TestExpiry(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		dead  int
+	}{
+		{"in time", time.Minute - 2*time.Second, 0},
+		{"expired", time.Minute + 3*time.Second, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRun(t, 2, 1)
+			r.online["b0"] = 4
+			r.tick(0)
+			r.tick(test.after)
+			r.tick(time.Second)
+			r.c.Assert(r.world.Output(), qt.HasLen, test.dead)
+		})
+	}
+}
+
 // TestDrop checks that the items of an ended job stop and never start again.
 func TestDrop(t *testing.T) {
 	r := newTestRun(t, 6, 1)
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -28,6 +28,7 @@
 	yieldCaution  = 3 * time.Second        // that the server keeps a slot free afterwards
 	leadPause     = 200 * time.Millisecond // for entries to report to a new leader
 	saveEvents    = 24                     // new events of an item that are worth keeping
+	expiryMargin  = 500 * time.Millisecond // a job was submitted before it was seen here
 )
 
 // World runs items while this instance leads the jobs ledger. It belongs to
@@ -47,6 +48,7 @@
 	servers  []directory.Server
 	online   func(backend string) int
 	jobs     *table.Table[string, jobRow]
+	accepted map[string]time.Time // when open jobs were first seen here
 	progress *table.Table[itemKey, progressRow]
 	running  *table.Table[uint64, runningRow]
 	pauses   *table.Table[string, pauseRow]
@@ -97,7 +99,8 @@
 		logger: slog.New(slog.DiscardHandler), reserve: DefaultReserve,
 		start: func(Attempt) {}, stop: func(uint64) {},
 		random: func() float64 { return 0 }, online: func(string) int { return 0 }, ended: func(End, time.Duration) {},
-		jobs: table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
+		accepted: make(map[string]time.Time),
+		jobs:     table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
 		running: table.New[uint64, runningRow](), pauses: table.New[string, pauseRow](),
 		yielded: table.New[string, time.Time](),
 		counts:  make(map[string]int), pace: newPace(),
@@ -124,16 +127,29 @@
 		w.running.Each(func(number uint64, row *runningRow) { w.halt(number, row) })
 		return
 	}
-	state.Each(func(j batch.Job) { w.Accept(j) })
+	state.Each(func(j batch.Job) { w.Accept(now, j) })
 }
 
-// Accept takes a new job.
-func (w *World) Accept(j batch.Job) {
+// Accept takes a job that was accepted. Its times count from when it was first
+// seen here, by this instance's clock: the time of day may differ between
+// instances and jump.
+func (w *World) Accept(now time.Time, j batch.Job) {
 	o := j.Order()
-	if !w.leading || !j.Open() || w.jobs.Get(o.ID()) != nil {
+	if !j.Open() {
 		return
 	}
-	w.jobs.Put(o.ID(), jobRow{due: o.Due(), expiry: o.Expiry(), attempts: max(o.Attempts(), 1)})
+	if _, ok := w.accepted[o.ID()]; !ok {
+		w.accepted[o.ID()] = now
+	}
+	if !w.leading || w.jobs.Get(o.ID()) != nil {
+		return
+	}
+	at := w.accepted[o.ID()]
+	row := jobRow{due: at.Add(o.Due().Sub(o.Submitted())), attempts: max(o.Attempts(), 1)}
+	if !o.Expiry().IsZero() {
+		row.expiry = at.Add(o.Expiry().Sub(o.Submitted()) + expiryMargin)
+	}
+	w.jobs.Put(o.ID(), row)
 	w.order = append(w.order, o.ID())
 	for item, p := range j.Parts() {
 		w.progress.Put(itemKey{o.ID(), item}, progressRow{last: p.Last(), saved: p.Last()})
@@ -142,6 +158,7 @@
 
 // Drop stops the items of a job that ended.
 func (w *World) Drop(job string) {
+	delete(w.accepted, job)
 	if !w.leading {
 		return
 	}
