--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -90,16 +90,11 @@
 // alone must not start them anew, since output proposed before is still to be
 // committed.
 func (w *World) runsItems(leads bool) bool {
-	for _, s := range w.ledgers.Statuses() {
-		if s.Role() != ledger.RoleLeader {
-			return false
-		}
-		if leads {
-			w.jobs.term = s.Term()
-		}
-		return w.jobs.term == s.Term()
+	term := w.ledgers.LeadingTerm(JobsLedger)
+	if leads {
+		w.jobs.term = term
 	}
-	return false
+	return term != 0 && w.jobs.term == term
 }
 
 // proposeBatch proposes a command of this leader's own.
--- a/core/cluster/system_ledger.go
+++ b/core/cluster/system_ledger.go
@@ -33,7 +33,7 @@
 	for _, c := range committed {
 		w.apply(c)
 	}
-	if !w.ledgers.Leads(now, id) && !w.leads(id) {
+	if w.ledgers.LeadingTerm(id) == 0 {
 		w.proposals.abandon(w.redirect)
 	}
 	w.proposals.checkBarriers(func(term, round uint64) (bool, bool) { return w.ledgers.Passed(id, term, round) })
@@ -41,16 +41,6 @@
 	w.noteMembers()
 }
 
-// leads reports whether this replica is the leader, whatever its lease.
-func (w *World) leads(id ledger.ID) bool {
-	for _, s := range w.ledgers.Statuses() {
-		if s.Ledger() == id {
-			return s.Role() == ledger.RoleLeader
-		}
-	}
-	return false
-}
-
 // setContacts tells the ledger where other replicas may be.
 func (w *World) setContacts(id ledger.ID) {
 	if w.contacts == w.directory.Set() {
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -106,6 +106,16 @@
 // Hosts reports whether the ledger has a replica here.
 func (w *World) Hosts(ledger ID) bool { return w.replicas.Get(ledger) != nil }
 
+// LeadingTerm returns the term in which this replica is the leader, whatever its
+// lease; 0 when it is not.
+func (w *World) LeadingTerm(ledger ID) uint64 {
+	row := w.replicas.Get(ledger)
+	if row == nil || row.role != RoleLeader {
+		return 0
+	}
+	return row.term
+}
+
 // LeaderOf returns the instance that leads the ledger as far as known here.
 func (w *World) LeaderOf(ledger ID) string {
 	row := w.replicas.Get(ledger)
--- /dev/null
+++ b/core/ledger/suspension_test.go
@@ -0,0 +1,43 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSuspension checks that a leader that was suspended does not hold its
+// lease when it wakes, measured by a clock that counts the suspension. By a
+// clock that stands still meanwhile it would answer beside the new leader.
+func TestSuspension(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		counts bool
+		holds  bool
+	}{
+		{"the clock counts the suspension", true, false},
+		{"the clock stands still", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 3, 0, 1)
+			qt.Assert(t, c.settle(10*time.Second), qt.IsTrue)
+			old := c.leader()
+			asleep := c.now
+			old.frozen = true
+			for range 500 {
+				c.step(10 * time.Millisecond)
+			}
+			qt.Assert(t, c.leader() != nil && c.leader() != old, qt.IsTrue)
+			now := asleep
+			if test.counts {
+				now = c.now
+			}
+			qt.Assert(t, old.world.Leads(now, testLedger), qt.Equals, test.holds)
+			_, _, ok := old.world.Barrier(testLedger)
+			qt.Assert(t, ok, qt.IsTrue)
+			passed, _ := old.world.Passed(testLedger, old.world.Statuses()[0].Term(), 1<<40)
+			qt.Assert(t, passed, qt.IsFalse)
+		})
+	}
+}
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -23,7 +23,7 @@
 	helloFresh      = 2 * time.Second // age at which a hello answer is void
 	snapshotRetry   = 5 * time.Second
 	probeRetry      = 500 * time.Millisecond // between messages to a member that refused entries
-	learnerLag      = 64 // entries by which a learner may trail at promotion
+	learnerLag      = 64                     // entries by which a learner may trail at promotion
 	applyPerTick    = 2048
 	transferRetry   = 5 * time.Second
 	stepDownLeases  = 2 // leader gives up after this many election timeouts without a quorum
