--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -40,7 +40,7 @@
 
 // submit starts a request.
 func (e *testEntry) submit(repeatable bool, attempts int, progress *Progress) {
-	r := NewRequest("r", "s", repeatable, attempts, e.now, e.now.Add(5*time.Second), 300*time.Millisecond)
+	r := NewRequest("r", "s", repeatable, attempts, e.now, e.now.Add(5*time.Second))
 	e.step(0, Submit(r, progress, func(d Decision) { e.decisions = append(e.decisions, d) }, func() { e.abandoned++ }))
 }
 
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -19,15 +19,14 @@
 	attempts   int
 	arrived    time.Time
 	deadline   time.Time
-	objective  time.Duration
 }
 
 // NewRequest returns a request for a service. id is the caller's and only
 // logged; attempts bounds the servers that may run it; deadline is when the
 // caller must have an answer.
-func NewRequest(id, service string, repeatable bool, attempts int, arrived, deadline time.Time, objective time.Duration) Request {
+func NewRequest(id, service string, repeatable bool, attempts int, arrived, deadline time.Time) Request {
 	return Request{id: id, service: service, repeatable: repeatable, attempts: max(attempts, 1),
-		arrived: arrived, deadline: deadline, objective: objective}
+		arrived: arrived, deadline: deadline}
 }
 
 // ID returns the caller's id of the request.
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -61,9 +61,10 @@
 	r.world.Accept(r.now, j)
 }
 
-// tick runs the systems after some time.
+// tick runs the systems after some time, at least that between two looks for
+// free slots.
 func (r *testRun) tick(d time.Duration) {
-	r.now = r.now.Add(d)
+	r.now = r.now.Add(max(d, fillEvery))
 	r.world.Run(r.now)
 }
 
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -11,40 +11,49 @@
 
 // yield stops items on servers that have more work than slots.
 func (w *World) yield(now time.Time) {
+	var stopping map[string]int
 	for _, s := range w.servers {
 		id := s.Backend().ID()
 		excess := w.online(id) + w.counts[id] - s.Backend().Slots()
-		for ; excess > 0; excess-- {
-			if !w.stopOne(now, id) {
-				break
-			}
+		if excess <= 0 || w.counts[id] == 0 {
+			continue
+		}
+		if stopping == nil {
+			stopping = w.stopping()
+		}
+		for n := stopping[id]; n < excess && w.stopOne(now, id); n++ {
 		}
 	}
 }
 
+// stopping counts the attempts on each server that are being stopped.
+func (w *World) stopping() map[string]int {
+	counts := make(map[string]int)
+	w.running.Each(func(_ uint64, row *runningRow) {
+		if row.stopping {
+			counts[row.backend]++
+		}
+	})
+	return counts
+}
+
 // stopOne stops the attempt on a server that can best wait: one that is late
-// anyway, else the one that is due last. It reports false when there is none
-// or one is stopping already.
+// anyway, else the one that is due last. It reports false when there is none.
 func (w *World) stopOne(now time.Time, backend string) bool {
-	victim, stopping := uint64(0), false
+	victim := uint64(0)
 	var best *runningRow
 	w.running.Each(func(number uint64, row *runningRow) {
-		if row.backend != backend {
-			return
-		}
-		stopping = stopping || row.stopping
-		if best == nil || w.canWait(now, row, best) {
+		if row.backend == backend && !row.stopping && (best == nil || w.canWait(now, row, best)) {
 			victim, best = number, row
 		}
 	})
-	if best == nil || stopping {
+	if best == nil {
 		return false
 	}
-	row := best
-	event.ItemYielded.Log(w.logger, "job", row.key.job, "item", row.key.item, "backend", backend,
-		"online", w.online(backend), "batch", w.counts[backend], "ran_ms", now.Sub(row.started).Milliseconds())
+	event.ItemYielded.Log(w.logger, "job", best.key.job, "item", best.key.item, "backend", backend,
+		"online", w.online(backend), "batch", w.counts[backend], "ran_ms", now.Sub(best.started).Milliseconds())
 	w.yielded.Put(backend, now)
-	w.halt(victim, row)
+	w.halt(victim, best)
 	return true
 }
 
--- a/core/runner/system_take.go
+++ b/core/runner/system_take.go
@@ -23,6 +23,7 @@
 	ours := row.lead == w.lead
 	w.ended(o.end, now.Sub(row.started))
 	w.running.Remove(o.number)
+	w.changed = true
 	if w.counts[backend]--; w.counts[backend] <= 0 {
 		delete(w.counts, backend)
 	}
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -26,6 +26,7 @@
 	retryInterval = 100 * time.Millisecond // while items wait for a free slot
 	yieldPause    = 400 * time.Millisecond // without items for a server that took slots back
 	yieldCaution  = 3 * time.Second        // that the server keeps a slot free afterwards
+	fillEvery     = 10 * time.Millisecond  // between looks for free slots
 	leadPause     = 200 * time.Millisecond // for entries to report to a new leader
 	saveEvents    = 24                     // new events of an item that are worth keeping
 	expiryMargin  = 500 * time.Millisecond // a job was submitted before it was seen here
@@ -59,8 +60,9 @@
 	order    []string // jobs by due time, hopeless ones last
 	pace     pace
 	expireAt time.Time
-	waiting  bool // items wait for a slot or a pause
-	fillAt   time.Time
+	waiting  bool      // items wait for a slot or a pause
+	fillAt   time.Time // of the next look for free slots
+	changed  bool      // jobs or attempts changed since the last look
 	mayStart bool
 }
 
@@ -151,6 +153,7 @@
 	}
 	w.jobs.Put(o.ID(), row)
 	w.order = append(w.order, o.ID())
+	w.changed = true
 	for item, p := range j.Parts() {
 		w.progress.Put(itemKey{o.ID(), item}, progressRow{last: p.Last(), saved: p.Last()})
 	}
@@ -215,6 +218,7 @@
 		w.waiting = true
 		return
 	}
+	w.fillAt, w.changed = now.Add(fillEvery), false
 	w.fill(now)
 }
 
@@ -230,6 +234,9 @@
 	if !w.leading || len(w.order) == 0 {
 		return time.Time{}, false
 	}
+	if w.changed && w.fillAt.After(now) {
+		return w.fillAt, true
+	}
 	if w.waiting {
 		return now.Add(retryInterval), true
 	}
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"papayaquay/core/entry"
 	"papayaquay/io/forward"
@@ -25,7 +26,7 @@
 // Final is how a passage ended without a whole answer of a server.
 type Final struct {
 	action  entry.Action
-	retry   entry.Decision
+	retry   time.Duration
 	started bool
 	gone    bool
 }
@@ -39,8 +40,9 @@
 // Gone reports that the caller left or its time is over.
 func (f Final) Gone() bool { return f.gone }
 
-// Decision returns the decision that ended the passage.
-func (f Final) Decision() entry.Decision { return f.retry }
+// Retry returns after what time a refused request may be sent again, 0 if
+// unknown.
+func (f Final) Retry() time.Duration { return f.retry }
 
 // Pass serves an online request: it asks the traffic thread for each step and
 // copies the answer to the caller. ok is false when the front end must end the
@@ -54,7 +56,7 @@
 	for {
 		d := <-decisions
 		if d.Action() != entry.ActionSend {
-			return Final{action: d.Action(), retry: d, started: relay.Started()}, false
+			return Final{action: d.Action(), retry: d.Retry(), started: relay.Started()}, false
 		}
 		try, cancel := current.begin(ctx)
 		end, load := relay.Try(try, d.Backend(), func(l entry.Load) { p.traffic.Post(entry.Answering(d.Number(), l)) })
