--- a/cmd_check_config.go
+++ b/cmd_check_config.go
@@ -13,8 +13,16 @@
 var cmdCheckConfig = &cli.Command{
 	Name:  "check-config",
 	Usage: "check a settings file without starting anything",
-	Flags: []cli.Flag{configFlag, &cli.BoolFlag{Name: "show", Usage: "print the settings with all defaults"}},
+	Flags: []cli.Flag{configFlag, &cli.BoolFlag{Name: "show", Usage: "print the settings with all defaults"},
+		&cli.BoolFlag{Name: "fleet", Usage: "the file is one of the run command"}},
 	Action: func(_ context.Context, c *cli.Command) error {
+		if c.Bool("fleet") {
+			if _, err := settings.LoadFleet(c.String("config")); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.Root().Writer, "ok")
+			return nil
+		}
 		s, err := settings.Load(c.String("config"))
 		if err != nil {
 			return err
--- a/core/cluster/host_registry.go
+++ b/core/cluster/host_registry.go
@@ -107,12 +107,10 @@
 	h.proposed = now
 	members := spread(fresh, foundingEnough)
 	payload, err := w.codec.Registry.Encode(registry.Found(members))
-	if err != nil {
-		return
-	}
-	if _, _, err := w.ledgers.Propose(ControlLedger, payload); err == nil {
-		event.FoundersChosen.Log(w.logger, "stores", len(fresh), "chosen", len(members))
+	if err == nil {
+		_, _, err = w.ledgers.Propose(ControlLedger, payload)
 	}
+	event.FoundersChosen.Log(w.logger, "stores", len(fresh), "chosen", len(members), "error", err)
 }
 
 // spread picks members in different data centres first.
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -34,7 +34,7 @@
 func (w *World) serveFollow(now time.Time, asker askerKey, r call.Request) {
 	f, err := w.codec.Following.Decode(r.Payload())
 	if err != nil {
-		event.CommandInvalid.Log(w.logger, "from", asker.from, "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "follow", "from", asker.from, "error", err)
 		return
 	}
 	w.directory.Hear(now, f.node)
@@ -100,6 +100,7 @@
 	}
 	report, err := w.codec.Report.Decode(payload)
 	if err != nil {
+		event.EncodeFailed.Log(w.logger, "call", "usage", "from", asker.from, "error", err)
 		return
 	}
 	h := w.jobs
@@ -111,6 +112,7 @@
 	})
 	answer, err := w.codec.Sums.Encode(NewSums(h.usage.Len(), loads))
 	if err != nil {
+		event.EncodeFailed.Log(w.logger, "call", "usage", "to", asker.from, "error", err)
 		return
 	}
 	w.again = true // the runner must look at the new counts
@@ -155,7 +157,7 @@
 	}
 	payload, err := w.codec.Page.Encode(j.Page(q.after))
 	if err != nil {
-		event.SnapshotFailed.Log(w.logger, "job", q.job, "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "page", "job", q.job, "error", err)
 		return
 	}
 	w.answer(asker, call.StatusDone, payload)
@@ -184,6 +186,7 @@
 	}
 	payload, err := w.codec.Batch.Encode(batch.Retire(address))
 	if err != nil {
+		event.EncodeFailed.Log(w.logger, "call", "retire", "from", asker.from, "error", err)
 		return
 	}
 	w.servePropose(now, asker, payload)
--- a/core/cluster/system_follow.go
+++ b/core/cluster/system_follow.go
@@ -18,6 +18,7 @@
 func (w *World) poll(now time.Time, address string, row *upstreamRow, done func(call.Reply)) {
 	payload, err := w.codec.Following.Encode(w.following(row))
 	if err != nil {
+		event.EncodeFailed.Log(w.logger, "call", "follow", "to", address, "error", err)
 		w.upstreams.lost(now, address)
 		done(call.NewReply(0, call.StatusUnsent, nil))
 		return
@@ -43,6 +44,7 @@
 	w.upstreams.rows.Each(func(address string, row *upstreamRow) {
 		payload, err := w.codec.Following.Encode(w.following(row))
 		if err != nil {
+			event.EncodeFailed.Log(w.logger, "call", "follow", "to", address, "error", err)
 			return
 		}
 		c := call.New(call.KindFollow, call.TargetNode, now.Add(followTimeout), payload, call.WithAddress(address))
@@ -58,7 +60,7 @@
 func (w *World) takeNews(address string, payload []byte) {
 	news, err := w.codec.News.Decode(payload)
 	if err != nil {
-		event.CommandInvalid.Log(w.logger, "from", address, "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "news", "from", address, "error", err)
 		return
 	}
 	w.directory.Take(w.now, news.update)
@@ -106,7 +108,7 @@
 	}
 	payload, err := w.codec.News.Encode(n)
 	if err != nil {
-		event.SnapshotFailed.Log(w.logger, "to", asker.from, "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "news", "to", asker.from, "error", err)
 		return
 	}
 	w.answer(asker, call.StatusDone, payload)
--- a/core/cluster/system_share.go
+++ b/core/cluster/system_share.go
@@ -81,6 +81,7 @@
 	}
 	payload, err := w.codec.Report.Encode(s.report)
 	if err != nil {
+		event.EncodeFailed.Log(w.logger, "call", "usage", "error", err)
 		return
 	}
 	s.asked, s.changed, s.told, s.sentAt = true, false, s.report, now
@@ -136,7 +137,7 @@
 	}
 	report, err := w.codec.Report.Decode(payload)
 	if err != nil {
-		event.CommandInvalid.Log(w.logger, "report", asker.from, "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "collect", "from", asker.from, "error", err)
 		return
 	}
 	h.usage.Take(now, asker.from, report)
@@ -151,7 +152,7 @@
 	})
 	answer, err := w.codec.Sums.Encode(NewSums(h.usage.Len(), loads))
 	if err != nil {
-		event.CommandInvalid.Log(w.logger, "sums", asker.from, "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "collect", "to", asker.from, "error", err)
 		return
 	}
 	w.answer(asker, call.StatusDone, answer)
@@ -166,7 +167,7 @@
 	}
 	sums, err := w.codec.Sums.Decode(reply.Payload())
 	if err != nil {
-		event.CommandInvalid.Log(w.logger, "sums", "decode", "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "sums", "error", err)
 		return
 	}
 	loads := sums.loads
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -48,6 +48,7 @@
 	LedgerRestored = Event{201, slog.LevelInfo, "a ledger was restored from a snapshot"}
 	CommandInvalid = Event{202, slog.LevelError, "a committed command could not be decoded"}
 	SnapshotFailed = Event{203, slog.LevelError, "a snapshot could not be encoded"}
+	EncodeFailed   = Event{204, slog.LevelError, "a call or its answer could not be encoded or decoded"}
 )
 
 // Events of the members.
@@ -91,7 +92,7 @@
 	return []Event{
 		Started, Draining, Stopped, StopOverdue, ServeFailed, SettingsRead, SettingsRefused,
 		DiskFailed, DiskRepaired, DiskCorrupt, DiskFresh,
-		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed,
+		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, EncodeFailed,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnounceRefused, PeerRefused,
 		AttemptFailed, BackendLost, RequestPoison,
 		RequestServed, RequestSent, ItemEnded, ItemYielded, JobGivenUp, JobAnswered, RunnerChanged, ResultRefused,
--- a/io/forward/events.go
+++ b/io/forward/events.go
@@ -56,7 +56,9 @@
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
-			id, _ = strconv.ParseUint(string(value), 10, 64)
+			if n, err := strconv.ParseUint(string(value), 10, 64); err == nil {
+				id = n // an event with another id cannot be resumed after
+			}
 		case "data":
 			if lines > 0 {
 				data = append(data, '\n')
