An answer that broke off is taken up only where it may be resumed

Cause: read as a newcomer: a repeatable request that is no resumable stream was sent again after a part of its answer had gone to the caller, and the next answer would have followed that part. Change: such a request ends with its connection. Test: TestEnds, seen failing before.

--- a/core/cluster/upstream.go
+++ b/core/cluster/upstream.go
@@ -71,7 +71,7 @@
 		if u.width > 0 && u.rows.Len() >= u.width {
 			return
 		}
-		address := candidates[(i+offset&0xffff)%len(candidates)]
+		address := candidates[(i+(offset&0xffff))%len(candidates)]
 		if address == u.self || u.rows.Get(address) != nil || now.Sub(u.failed[address]) < upstreamPause {
 			continue
 		}
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	snapshot  *cluster.Snapshot
 	decisions []Decision
 	abandoned int
+	resumable bool // of the requests
 	report    usage.Report
 }
 
@@ -40,7 +42,7 @@
 
 // submit starts a request.
 func (e *testEntry) submit(repeatable bool, attempts int, progress *Progress) {
-	r := NewRequest("r", "s", repeatable, attempts, e.now, e.now.Add(5*time.Second))
+	r := NewRequest("r", "s", repeatable, e.resumable, attempts, e.now, e.now.Add(5*time.Second))
 	e.step(0, Submit(r, progress, func(d Decision) { e.decisions = append(e.decisions, d) }, func() { e.abandoned++ }))
 }
 
@@ -70,10 +72,12 @@
 		{"once, unreachable", EndUnreachable, false, 1, 4, ActionRefuse},
 		{"repeatable, answer lost", EndLost, true, 3, 3, ActionFail},
 		{"resumable, broken off", EndBroken, true, 2, 2, ActionFail},
+		{"repeatable but not resumable, broken off", EndBroken, true, 3, 1, ActionFail},
 		{"caller gone", EndGone, true, 3, 1, ActionSend},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			e := newTestEntry(t, 4, nil)
+			e.resumable = strings.HasPrefix(test.name, "resumable")
 			e.submit(test.repeatable, test.attempts, NewProgress())
 			for n := 0; n < len(e.decisions) && e.last().Action() == ActionSend && n < 10; n++ {
 				e.step(time.Millisecond, Ended(e.last().Number(), test.end, Load{}))
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -16,16 +16,18 @@
 	id         string
 	service    string
 	repeatable bool
+	resumable  bool
 	attempts   int
 	arrived    time.Time
 	deadline   time.Time
 }
 
 // NewRequest returns a request for a service. id is the caller's and only
-// logged; attempts bounds the servers that may run it; deadline is when the
-// caller must have an answer.
-func NewRequest(id, service string, repeatable bool, attempts int, arrived, deadline time.Time) Request {
-	return Request{id: id, service: service, repeatable: repeatable, attempts: max(attempts, 1),
+// logged; a repeatable request may run more than once, a resumable one may go on
+// at another server after a part of its answer; attempts bounds the servers that
+// may run it; deadline is when the caller must have an answer.
+func NewRequest(id, service string, repeatable, resumable bool, attempts int, arrived, deadline time.Time) Request {
+	return Request{id: id, service: service, repeatable: repeatable, resumable: resumable, attempts: max(attempts, 1),
 		arrived: arrived, deadline: deadline}
 }
 
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -31,7 +31,8 @@
 		return
 	case EndLost, EndBroken:
 		row.runs++
-		if !row.request.repeatable || row.runs >= row.request.attempts {
+		stuck := input.end == EndBroken && !row.request.resumable
+		if stuck || !row.request.repeatable || row.runs >= row.request.attempts {
 			w.giveUp(now, input.number, row, "answer "+input.end.String(), 0)
 			return
 		}
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -92,6 +92,9 @@
 	if row.backend == "" || row.left || !row.request.repeatable || row.runs+1 >= row.request.attempts {
 		return
 	}
+	if !row.request.resumable && !row.headAt.IsZero() {
+		return // a part of the answer is with the caller
+	}
 	server := w.server(row.backend)
 	if !server.silent || server.quiet < abandonAfter {
 		return
