--- a/test/system_test.go
+++ b/test/system_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -32,26 +31,10 @@
 // service is the service of most tests.
 const service = "brandtext"
 
-// binary builds the program once.
-var binary = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "papayaquay-test-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(folder, "papayaquay")
-	out, err := exec.Command("go", "build", "-o", path, "papayaquay").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return path, nil
-})
-
 // TestMain removes the built program at the end.
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := binary(); err == nil {
-		os.RemoveAll(filepath.Dir(path))
-	}
+	standin.RemoveProgram()
 	os.Exit(code)
 }
 
@@ -83,7 +66,7 @@
 // start runs all processes of a system and waits until it is ready.
 func start(t testing.TB, s shape) *system {
 	t.Helper()
-	path, err := binary()
+	path, err := standin.Program()
 	c := qt.New(t)
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithTimeout(context.Background(), testBound)
@@ -189,7 +172,7 @@
 // restart starts an ended instance again.
 func (x *system) restart(name string) {
 	x.t.Helper()
-	path, err := binary()
+	path, err := standin.Program()
 	x.c.Assert(err, qt.IsNil)
 	x.run(path, x.place(name))
 }
