Tests of core/control driven by ticks

Change: three simulated instances; changes and their races, items and the loss of their runner, hand-over.

--- /dev/null
+++ b/core/control/world_test.go
@@ -0,0 +1,236 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"papayaquay/core/config"
+	"papayaquay/core/control"
+	"papayaquay/core/home"
+	"papayaquay/core/ledger"
+	"papayaquay/core/member"
+	"papayaquay/core/outcome"
+	"papayaquay/io/record"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Names of the tests' deployment: three instances with a disk each in data
+// centre a.
+const (
+	homeLedger ledger.ID = "home/a"
+	service              = "brandtext"
+)
+
+// node is one simulated instance.
+type node struct {
+	name     string
+	world    *control.World
+	inbox    []control.Input
+	snapshot *control.Snapshot
+	items    []control.Item
+	stopped  int
+	down     bool
+}
+
+// system is a simulated deployment driven by ticks.
+type system struct {
+	c     *qt.C
+	now   time.Time
+	nodes []*node
+}
+
+// newSystem returns a deployment whose ledgers have formed.
+func newSystem(t testing.TB) *system {
+	s := &system{c: qt.New(t), now: time.Unix(1000, 0)}
+	names := []string{"i0", "i1", "i2"}
+	var rows []member.Instance
+	for _, name := range names {
+		rows = append(rows, member.NewInstance(name, name+":1", "a", 1, member.StateAlive))
+	}
+	for n, name := range names {
+		s.nodes = append(s.nodes, s.newNode(name, names, rows, uint64(n+1)))
+	}
+	s.run(5 * time.Second)
+	return s
+}
+
+// newNode returns an instance that hosts a replica of each ledger.
+func (s *system) newNode(name string, names []string, rows []member.Instance, seed uint64) *node {
+	n := &node{name: name}
+	ledgers := ledger.New(name, ledger.WithSeed(seed))
+	var placements []control.Placement
+	for _, id := range []ledger.ID{control.ConfigLedger, homeLedger} {
+		placements = append(placements, control.NewPlacement(id, names, ""))
+		ledgers.Host(s.now, id, ledger.ReplicaID(name+"#1"), names)
+	}
+	var self member.Instance
+	var others []member.Instance
+	for _, row := range rows {
+		if row.Name() == name {
+			self = row
+		} else {
+			others = append(others, row)
+		}
+	}
+	members := member.New(s.now, self, member.WithSeed(seed), member.WithSeeds(others...))
+	n.world = control.New(s.now, name+"#1", record.NewCodec(), members, ledgers,
+		control.WithPlacements(placements...),
+		control.WithPersist(func(sequence uint64, _ []ledger.Record) { n.inbox = append(n.inbox, control.Synced(sequence)) }),
+		control.WithSend(s.deliver), control.WithPublish(func(x *control.Snapshot) { n.snapshot = x }),
+		control.WithPost(func(i control.Input) { n.inbox = append(n.inbox, i) }),
+		control.WithItems(func(i control.Item) { n.items = append(n.items, i) }, func(uint64, bool) { n.stopped++ }))
+	return n
+}
+
+// deliver passes a packet on.
+func (s *system) deliver(p control.Packet) {
+	for _, n := range s.nodes {
+		if n.name == p.To() && !n.down {
+			n.inbox = append(n.inbox, control.FromPeer(p))
+		}
+	}
+}
+
+// run lets time pass.
+func (s *system) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(10 * time.Millisecond) {
+		for _, n := range s.nodes {
+			if !n.down {
+				inputs := n.inbox
+				n.inbox = nil
+				n.world.Step(s.now, inputs)
+			}
+		}
+	}
+}
+
+// ask makes a call at an instance and returns its result.
+func (s *system) ask(at int, kind control.CallKind, id ledger.ID, options ...control.CallOption) control.Result {
+	var result *control.Result
+	call := control.NewCall(kind, id, s.now.Add(5*time.Second), options...)
+	s.nodes[at].inbox = append(s.nodes[at].inbox, control.Ask(call, func(r control.Result) { result = &r }))
+	for range 600 {
+		if s.run(10 * time.Millisecond); result != nil {
+			return *result
+		}
+	}
+	s.c.Fatalf("no result of call %d at %s", kind, s.nodes[at].name)
+	return control.Result{}
+}
+
+// change sends a configuration change of the service.
+func (s *system) change(at int, operation string, basedOn uint64) config.Verdict {
+	change := config.NewChange(operation, "op", config.NewRef(config.KindService, service),
+		config.NewSpec(config.WithProtocol(config.ProtocolEngine)), basedOn, s.now)
+	return s.ask(at, control.CallChange, control.ConfigLedger, control.WithChange(change)).Verdict()
+}
+
+// TestChange checks that changes are in force everywhere, that a repeated
+// operation gets its first answer and that equal numbers race safely.
+func TestChange(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		operation string
+		basedOn   uint64
+		applied   bool
+	}{
+		{"repeated", "one", 0, true},
+		{"on an old revision", "two", 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSystem(t)
+			first := s.change(0, "one", 0)
+			s.c.Assert(first.Applied(), qt.IsTrue)
+			second := s.change(1, test.operation, test.basedOn)
+			s.c.Assert(second.Applied(), qt.Equals, test.applied)
+			if test.applied {
+				s.c.Assert(second.Revision(), qt.Equals, first.Revision())
+			}
+			s.run(2 * time.Second)
+			for _, n := range s.nodes {
+				s.c.Assert(n.snapshot.View().Revision(), qt.Equals, first.Revision())
+			}
+		})
+	}
+}
+
+// TestItems checks that a job's items start on a server that announced itself,
+// that their results are stored, and that a lost runner's items start elsewhere.
+func TestItems(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		lost bool
+	}{
+		{"runner stays", false},
+		{"runner lost", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSystem(t)
+			s.c.Assert(s.change(0, "one", 0).Applied(), qt.IsTrue)
+			s.announce(1)
+			s.run(time.Second)
+			key := home.NewKey("acc", "job")
+			command := home.NewCommand(home.CommandSubmit, key, s.now, home.WithService(service),
+				home.WithItems(3, 0, []home.Item{home.NewItem("a", 1), home.NewItem("b", 1), home.NewItem("c", 1)}))
+			s.c.Assert(s.ask(1, control.CallApply, homeLedger, control.WithKey(key), control.WithCommand(command)).Err(), qt.IsNil)
+			s.run(3 * time.Second)
+			runner := s.runner()
+			s.c.Assert(runner.items, qt.HasLen, 3)
+			at := 0
+			if test.lost {
+				runner.down = true
+				for s.nodes[at].down {
+					at++
+				}
+				for range 30 { // leases of the lost runner end
+					s.run(500 * time.Millisecond)
+					s.announce(1)
+				}
+				runner = s.runner()
+			}
+			for _, item := range runner.items {
+				answer := home.NewAnswer(outcome.OK, "done", 1, "", "b1", s.now)
+				runner.inbox = append(runner.inbox, control.ItemEnded(control.NewItemResult(item.Number(), answer)))
+			}
+			s.run(2 * time.Second)
+			status := s.ask(at, control.CallJob, homeLedger, control.WithKey(key)).Reply().Status()
+			s.c.Assert(status.Done(), qt.Equals, 3)
+		})
+	}
+}
+
+// announce lets a server with four slots announce itself at the instances that
+// run.
+func (s *system) announce(sequence uint64) {
+	for _, n := range s.nodes {
+		if !n.down {
+			b := member.NewBackend("b1", "http://b1", "a", member.ProtocolEngine, 4, 1, sequence+uint64(s.now.UnixMilli()), member.WithServices(service))
+			n.inbox = append(n.inbox, control.Announce(b))
+		}
+	}
+}
+
+// runner returns the running instance that was given items.
+func (s *system) runner() *node {
+	for _, n := range s.nodes {
+		if !n.down && len(n.items) > 0 {
+			return n
+		}
+	}
+	s.c.Fatalf("no instance runs items")
+	return nil
+}
+
+// TestHandOver checks that an instance that drains gives up what it leads.
+func TestHandOver(t *testing.T) {
+	s := newSystem(t)
+	for i := range 2 {
+		done := false
+		n := s.nodes[i]
+		n.inbox = append(n.inbox, control.StartDrain(func(d control.Drain) { done = d.Done() }))
+		s.run(3 * time.Second)
+		s.c.Assert(done, qt.IsTrue, qt.Commentf(fmt.Sprint(i)))
+	}
+}
