--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -16,12 +16,12 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Names of the tests' deployment: three instances with a disk each in data
-// centre a.
-const (
-	homeLedger ledger.ID = "home/a"
-	service              = "brandtext"
-)
+// homeLedger is the home ledger of the tests' deployment, three instances with a
+// disk each in data centre a.
+const homeLedger ledger.ID = "home/a"
+
+// service is the service of its jobs.
+const service = "brandtext"
 
 // node is one simulated instance.
 type node struct {
