--- a/core/cluster/snapshot.go
+++ b/core/cluster/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"papayaquay/core/directory"
-	"papayaquay/core/registry"
 	"papayaquay/core/routing"
 	"papayaquay/core/usage"
 )
@@ -10,11 +9,10 @@
 // Snapshot is what the traffic thread and the front ends see of the control
 // world. It never changes.
 type Snapshot struct {
-	config   *routing.Config
-	document registry.Document
-	servers  []directory.Server
-	loads    Loads
-	stores   []directory.Node
+	config  *routing.Config
+	servers []directory.Server
+	loads   Loads
+	stores  []directory.Node
 }
 
 // NewSnapshot returns a snapshot; config is nil until one was received.
@@ -25,9 +23,6 @@
 // Config returns the configuration in force, nil before one was received.
 func (s *Snapshot) Config() *routing.Config { return s.config }
 
-// Document returns the configuration's document.
-func (s *Snapshot) Document() registry.Document { return s.document }
-
 // Servers returns the backend servers that may take new work.
 func (s *Snapshot) Servers() []directory.Server { return s.servers }
 
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -255,7 +255,6 @@
 	w.publishedUrgent = w.directory.Urgent()
 	w.stale, w.publishedAt, w.publishedOf = false, now, w.directory.Version()
 	s := NewSnapshot(w.config, w.directory.Servers(now), w.share.loads)
-	s.document = w.document
 	s.stores = w.directory.Nodes(directory.KindStore)
 	w.publish(s)
 }
--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -87,9 +87,6 @@
 	return Route{}, false
 }
 
-// MatchHost reports whether some route has the host.
-func (c *Config) MatchHost(host string) bool { return len(c.hosts[host]) > 0 }
-
 // Limits bound what a caller may send.
 type Limits struct {
 	headerBytes   int
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -73,16 +73,15 @@
 	r.world.Take(r.now, NewOutcome(a.Number(), end, []byte(text), last))
 }
 
-// TestReserve checks that batch leaves slots free and takes what online
-// requests leave.
-func TestReserve(t *testing.T) {
+// TestFill checks that batch takes the slots that online requests leave.
+func TestFill(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		online  int
 		running int
 	}{
-		{"idle server", 0, 4 - DefaultReserve},
-		{"half full", 2, 2 - DefaultReserve},
+		{"idle server", 0, 4},
+		{"half full", 2, 2},
 		{"full", 4, 0},
 		{"over its slots", 6, 0},
 	} {
@@ -266,10 +265,10 @@
 	r.tick(0)
 	r.state.Apply(batch.End("job"))
 	r.world.Drop("job")
-	r.c.Assert(r.stopped, qt.HasLen, 4-DefaultReserve)
+	r.c.Assert(r.stopped, qt.HasLen, 4)
 	for _, a := range r.started {
 		r.end(a, EndStopped, "x", 1)
 	}
 	r.tick(time.Second)
-	r.c.Assert(r.started, qt.HasLen, 4-DefaultReserve)
+	r.c.Assert(r.started, qt.HasLen, 4)
 }
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -151,9 +151,9 @@
 func (w *World) caution(now time.Time, backend string) (reserve int, pause bool) {
 	at := w.yielded.Get(backend)
 	if at == nil || now.Sub(*at) > yieldCaution {
-		return w.reserve, false
+		return 0, false
 	}
-	return max(w.reserve, cautiousSlots), now.Sub(*at) < yieldPause
+	return cautiousSlots, now.Sub(*at) < yieldPause
 }
 
 // fillJob starts items of one job as long as there are slots.
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -14,8 +14,7 @@
 
 // Limits and timing.
 const (
-	DefaultReserve = 0 // slots of each server that batch leaves free
-	cautiousSlots  = 1 // slots left free by a server that took some back lately
+	cautiousSlots = 1 // slots left free by a server that took some back lately
 
 	notRunPause   = 150 * time.Millisecond // without items for a server that refused one
 	brokenPause   = 400 * time.Millisecond // doubled with each break in a row
@@ -35,12 +34,11 @@
 // World runs items while this instance leads the jobs ledger. It belongs to
 // the control thread.
 type World struct {
-	logger  *slog.Logger
-	reserve int
-	start   func(Attempt)
-	stop    func(number uint64)
-	random  func() float64
-	ended   func(End, time.Duration)
+	logger *slog.Logger
+	start  func(Attempt)
+	stop   func(number uint64)
+	random func() float64
+	ended  func(End, time.Duration)
 
 	leading  bool
 	lead     uint64 // counts the times of leading
@@ -92,14 +90,11 @@
 	return func(w *World) { w.ended = ended }
 }
 
-// WithReserve sets how many slots of each server batch leaves free.
-func WithReserve(slots int) Option { return func(w *World) { w.reserve = slots } }
-
 // New returns a world that runs nothing until Lead is called.
 func New(options ...Option) *World {
 	w := &World{
-		logger: slog.New(slog.DiscardHandler), reserve: DefaultReserve,
-		start: func(Attempt) {}, stop: func(uint64) {},
+		logger: slog.New(slog.DiscardHandler),
+		start:  func(Attempt) {}, stop: func(uint64) {},
 		random: func() float64 { return 0 }, online: func(string) int { return 0 }, ended: func(End, time.Duration) {},
 		accepted: make(map[string]time.Time),
 		jobs:     table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
@@ -196,9 +191,6 @@
 // Batch returns the items that run on a server.
 func (w *World) Batch(backend string) int { return w.counts[backend] }
 
-// Running returns the number of items that run.
-func (w *World) Running() int { return w.running.Len() }
-
 // Each visits the servers on which items run.
 func (w *World) Each(visit func(backend string, batch int)) {
 	for backend, count := range w.counts {
