Items go on elsewhere when their server falls silent

The logs of the store show an attempt of the item with a start and no end (no event 420): the server had taken the request and never answered (srv_grey hang), its connection stayed open, and nothing bounded the wait. Ruled out: a lost result (event 425 did not come), a full fleet (slots were free), keep-alive probes (the server's machine answers them). Change: core/progress counts the reads of an answer; a system of core/runner stops attempts of which nothing came for 3 s (1.5 s after the first bytes), as does core/entry, whose silence was measured by the time of day before and so would have jumped with it.

--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"papayaquay/core/cluster"
 	"papayaquay/core/directory"
 	"papayaquay/core/member"
+	"papayaquay/core/progress"
 	"papayaquay/core/usage"
 
 	qt "github.com/frankban/quicktest"
@@ -41,9 +42,9 @@
 }
 
 // submit starts a request.
-func (e *testEntry) submit(repeatable bool, attempts int, progress *Progress) {
+func (e *testEntry) submit(repeatable bool, attempts int, counter *progress.Counter) {
 	r := NewRequest("r", "s", repeatable, e.resumable, attempts, e.now, e.now.Add(5*time.Second))
-	e.step(0, Submit(r, progress, func(d Decision) { e.decisions = append(e.decisions, d) }, func() { e.abandoned++ }))
+	e.step(0, Submit(r, counter, func(d Decision) { e.decisions = append(e.decisions, d) }, func() { e.abandoned++ }))
 }
 
 // step runs one tick after some time.
@@ -78,7 +79,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			e := newTestEntry(t, 4, nil)
 			e.resumable = strings.HasPrefix(test.name, "resumable")
-			e.submit(test.repeatable, test.attempts, NewProgress())
+			e.submit(test.repeatable, test.attempts, progress.New())
 			for n := 0; n < len(e.decisions) && e.last().Action() == ActionSend && n < 10; n++ {
 				e.step(time.Millisecond, Ended(e.last().Number(), test.end, Load{}))
 			}
@@ -112,7 +113,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			for range 20 {
 				e := newTestEntry(t, 2, test.loads)
-				e.submit(false, 1, NewProgress())
+				e.submit(false, 1, progress.New())
 				e.c.Assert(e.last().Backend().ID(), qt.Equals, test.want)
 			}
 		})
@@ -134,16 +135,16 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			e := newTestEntry(t, 2, nil)
-			e.submit(test.repeatable, test.attempts, NewProgress())
+			e.submit(test.repeatable, test.attempts, progress.New())
 			silent := e.last().Backend().ID()
 			for range 20 {
 				e.step(watchEvery)
 			}
 			e.c.Assert(e.abandoned, qt.Equals, test.abandoned)
 			for range 10 {
-				progress := NewProgress()
-				e.submit(false, 1, progress)
-				progress.Note(e.now)
+				counter := progress.New()
+				e.submit(false, 1, counter)
+				counter.Note()
 				e.c.Assert(e.last().Backend().ID() == silent, qt.IsFalse)
 			}
 		})
@@ -166,7 +167,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			e := newTestEntry(t, 2, test.loads)
-			e.submit(true, 3, NewProgress())
+			e.submit(true, 3, progress.New())
 			e.c.Assert(e.last().Action(), qt.Equals, test.action)
 			if test.action == ActionRefuse {
 				e.c.Assert(e.last().Retry() > 0, qt.IsTrue)
@@ -190,7 +191,7 @@
 			e := newTestEntry(t, 2, nil)
 			var probed []string
 			e.world.probe = func(backend, _ string) { probed = append(probed, backend) }
-			e.submit(false, 1, NewProgress())
+			e.submit(false, 1, progress.New())
 			bad := e.last().Backend().ID()
 			e.step(time.Millisecond, Ended(e.last().Number(), EndUnreachable, Load{}))
 			for len(probed) == 0 {
@@ -200,9 +201,9 @@
 			e.step(time.Millisecond, Probed(bad, test.reached))
 			used := false
 			for range 40 {
-				progress := NewProgress()
-				e.submit(false, 1, progress)
-				progress.Note(e.now)
+				counter := progress.New()
+				e.submit(false, 1, counter)
+				counter.Note()
 				used = used || e.last().Backend().ID() == bad
 			}
 			e.c.Assert(used, qt.Equals, test.used)
@@ -217,7 +218,7 @@
 	var probed []string
 	e.world.probe = func(backend, _ string) { probed = append(probed, backend) }
 	for range 6 {
-		e.submit(false, 1, NewProgress())
+		e.submit(false, 1, progress.New())
 		e.c.Assert(e.last().Backend().DataCentre(), qt.Equals, "z1")
 	}
 	e.snapshot = newTestEntry(t, 8, nil).snapshot
@@ -229,9 +230,9 @@
 		e.step(0, Probed(id, false))
 	}
 	for range 20 {
-		progress := NewProgress()
-		e.submit(false, 1, progress)
-		progress.Note(e.now)
+		counter := progress.New()
+		e.submit(false, 1, counter)
+		counter.Note()
 		e.c.Assert(e.last().Backend().DataCentre(), qt.Equals, "z0")
 	}
 }
--- a/core/entry/input.go
+++ b/core/entry/input.go
@@ -1,10 +1,12 @@
 package entry
 
+import "papayaquay/core/progress"
+
 // Input is one message to the world.
 type Input struct {
 	request  *Request
 	decide   func(Decision)
-	progress *Progress
+	progress *progress.Counter
 	abandon  func()
 	number   uint64
 	end      End
@@ -17,8 +19,8 @@
 // Submit starts a request. decide is called on the traffic thread with each
 // next step and must not block; every ActionSend must be answered by Ended.
 // abandon, called there too, must end the current attempt.
-func Submit(r Request, progress *Progress, decide func(Decision), abandon func()) Input {
-	return Input{request: &r, progress: progress, decide: decide, abandon: abandon}
+func Submit(r Request, counter *progress.Counter, decide func(Decision), abandon func()) Input {
+	return Input{request: &r, progress: counter, decide: decide, abandon: abandon}
 }
 
 // Answering tells that the head of the server's answer arrived.
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -5,10 +5,10 @@
 package entry
 
 import (
-	"sync/atomic"
 	"time"
 
 	"papayaquay/core/member"
+	"papayaquay/core/progress"
 )
 
 // Request is an online request as the traffic thread sees it.
@@ -37,23 +37,6 @@
 // Service returns the service to run it.
 func (r Request) Service() string { return r.service }
 
-// Progress tells the traffic thread when the last bytes of an answer came. Any
-// goroutine may use it.
-type Progress struct {
-	at atomic.Int64 // Unix nanoseconds
-}
-
-// NewProgress returns a progress without bytes.
-func NewProgress() *Progress { return &Progress{} }
-
-// Note tells that bytes arrived.
-func (p *Progress) Note(now time.Time) { p.at.Store(now.UnixNano()) }
-
-// since returns how long nothing came, counted from start at the earliest.
-func (p *Progress) since(now, start time.Time) time.Duration {
-	return min(now.Sub(start), time.Duration(now.UnixNano()-p.at.Load()))
-}
-
 // Action is what to do with a request.
 type Action uint8
 
@@ -132,11 +115,12 @@
 type requestRow struct {
 	request  Request
 	decide   func(Decision)
-	progress *Progress
-	abandon  func()   // ends the current attempt
-	tried    []string // servers that refused or lost it
-	runs     int      // attempts that may have run
-	backend  string   // of the current attempt
+	progress *progress.Counter
+	watch    progress.Watch // of the current attempt
+	abandon  func()         // ends the current attempt
+	tried    []string       // servers that refused or lost it
+	runs     int            // attempts that may have run
+	backend  string         // of the current attempt
 	sentAt   time.Time
 	headAt   time.Time     // of the newest answer's head
 	patience time.Duration // without bytes before the attempt counts as silent
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -17,13 +17,15 @@
 	if w.requests.Len() == 0 && !w.anySuspect() {
 		w.watchDue = now.Add(idleWatch)
 	}
+	elapsed := min(now.Sub(w.watched), 2*watchEvery)
+	w.watched = now
 	w.forget(now)
 	w.requests.Each(func(_ uint64, row *requestRow) {
 		if row.backend == "" {
 			return
 		}
 		server := w.server(row.backend)
-		quiet := row.progress.since(now, row.sentAt)
+		quiet := row.watch.Look(min(elapsed, now.Sub(row.sentAt)))
 		server.quiet = min(server.quiet, quiet)
 		server.alive = server.alive || quiet < row.patience
 	})
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -7,6 +7,7 @@
 
 	"papayaquay/core/cluster"
 	"papayaquay/core/event"
+	"papayaquay/core/progress"
 	"papayaquay/core/table"
 	"papayaquay/core/usage"
 )
@@ -44,6 +45,7 @@
 	last     uint64
 	changed  bool // counts of requests in flight changed in this tick
 	watchDue time.Time
+	watched  time.Time            // last look at silence
 	doubted  map[string]time.Time // data centres whose servers were all probed
 }
 
@@ -168,6 +170,7 @@
 	server.zone, server.address = backend.DataCentre(), backend.Address()
 	w.changed = true
 	row.backend, row.sentAt, row.left, row.patience = backend.ID(), now, false, silentAfter
+	row.watch = progress.NewWatch(row.progress)
 	if choice.online+choice.batch >= backend.Slots() {
 		row.patience = queuedAfter
 	}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -74,6 +74,7 @@
 	JobAnswered   = Event{423, slog.LevelInfo, "a call about a batch job was answered"}
 	RunnerChanged = Event{424, slog.LevelInfo, "this instance starts or stops running batch items"}
 	ResultRefused = Event{425, slog.LevelWarn, "the result of an item did not follow its stored output"}
+	ItemSilent    = Event{426, slog.LevelWarn, "an attempt of a batch item is stopped since nothing comes of it"}
 	ConfigApplied = Event{500, slog.LevelDebug, "a configuration revision is in force"}
 )
 
@@ -95,7 +96,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, EncodeFailed,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnounceRefused, PeerRefused,
 		AttemptFailed, BackendLost, RequestPoison,
-		RequestServed, RequestSent, ItemEnded, ItemYielded, JobGivenUp, JobAnswered, RunnerChanged, ResultRefused,
+		RequestServed, RequestSent, ItemEnded, ItemYielded, JobGivenUp, JobAnswered, RunnerChanged, ResultRefused, ItemSilent,
 		ConfigApplied, ConfigAnswered, ConfigDecided,
 		UpstreamLost, UpstreamFound, FoundersChosen, MemberList,
 	}
--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -7,6 +7,7 @@
 
 	"papayaquay/core/batch"
 	"papayaquay/core/member"
+	"papayaquay/core/progress"
 )
 
 // Attempt is one run of an item on a backend server.
@@ -17,6 +18,7 @@
 	item    batch.Item
 	backend member.Backend
 	last    uint64
+	counter *progress.Counter
 }
 
 // Number identifies the attempt on this instance.
@@ -37,6 +39,9 @@
 // Last returns the id of the last event that is known, 0 for none.
 func (a Attempt) Last() uint64 { return a.last }
 
+// Progress returns the counter of reads of the answer.
+func (a Attempt) Progress() *progress.Counter { return a.counter }
+
 // End tells how an attempt ended.
 type End uint8
 
@@ -112,6 +117,8 @@
 	backend  string
 	started  time.Time
 	stopping bool
+	silent   bool // stopped since nothing came
+	watch    progress.Watch
 	last     uint64 // event after which it goes on
 	lead     uint64 // the time of leading that started it
 }
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -272,3 +272,50 @@
 	r.tick(time.Second)
 	r.c.Assert(r.started, qt.HasLen, 4)
 }
+
+// TestSilence checks that an item goes on elsewhere when nothing comes of its
+// attempt, and that an attempt whose bytes arrive is left alone.
+func TestSilence(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reads int // ticks with a read, counted from the start
+		alive bool
+	}{
+		{"never answers", 0, false},
+		{"falls silent", 4, false},
+		{"answers slowly", 1000, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRun(t, 1, 2)
+			r.tick(0)
+			first := r.started[0]
+			for n := 0; n < 40 && len(r.started) == 1; n++ {
+				if n < test.reads {
+					first.Progress().Note()
+				}
+				r.tick(watchEvery)
+				for _, number := range r.stopped {
+					r.end(first, EndStopped, "one", 1)
+					r.c.Assert(number, qt.Equals, first.Number())
+				}
+				r.stopped = nil
+			}
+			r.c.Assert(len(r.started) == 1, qt.Equals, test.alive)
+			if !test.alive {
+				r.c.Assert(r.started[1].Backend().ID() == first.Backend().ID(), qt.IsFalse)
+				r.c.Assert(r.started[1].Last(), qt.Equals, uint64(1))
+			}
+		})
+	}
+}
+
+// TestSuspended checks that attempts are not taken for silent because this
+// instance itself stood still.
+func TestSuspended(t *testing.T) {
+	r := newTestRun(t, 1, 2)
+	r.tick(0)
+	r.started[0].Progress().Note()
+	r.tick(watchEvery)
+	r.tick(time.Minute / 2)
+	r.c.Assert(r.stopped, qt.HasLen, 0)
+}
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -7,6 +7,7 @@
 	"papayaquay/core/batch"
 	"papayaquay/core/directory"
 	"papayaquay/core/event"
+	"papayaquay/core/progress"
 )
 
 // yield stops items on servers that have more work than slots.
@@ -211,9 +212,11 @@
 		last = p.last
 	}
 	w.last++
-	w.running.Put(w.last, runningRow{key: key, backend: backend.ID(), started: now, last: last, lead: w.lead})
+	counter := progress.New()
+	w.running.Put(w.last, runningRow{key: key, backend: backend.ID(), started: now, last: last, lead: w.lead,
+		watch: progress.NewWatch(counter)})
 	w.counts[backend.ID()]++
-	w.start(Attempt{number: w.last, job: o.ID(), host: o.Host(), item: item, backend: backend, last: last})
+	w.start(Attempt{number: w.last, job: o.ID(), host: o.Host(), item: item, backend: backend, last: last, counter: counter})
 	return true
 }
 
--- a/core/runner/system_take.go
+++ b/core/runner/system_take.go
@@ -29,6 +29,9 @@
 	}
 	event.ItemEnded.Log(w.logger, "job", key.job, "item", key.item, "backend", backend, "end", o.end.String(),
 		"ran_ms", now.Sub(row.started).Milliseconds(), "last_event", o.last)
+	if row.silent && o.end == EndStopped {
+		o.end = EndBroken
+	}
 	w.judge(now, backend, o.end)
 	w.pace.note(now.Sub(row.started), o.last-min(row.last, o.last), o.last, o.end == EndDone)
 	if job := w.jobs.Get(key.job); ours && job != nil {
--- /dev/null
+++ b/core/runner/system_watch.go
@@ -0,0 +1,38 @@
+package runner
+
+import (
+	"time"
+
+	"papayaquay/core/event"
+)
+
+// Bounds on the silence of a server that runs an item. A connection can stay
+// open for good although nothing comes any more.
+const (
+	watchEvery  = 250 * time.Millisecond
+	silentFirst = 3 * time.Second         // before the first bytes: the item may wait for a slot
+	silentNext  = 1500 * time.Millisecond // between bytes
+)
+
+// watch stops the attempts of which nothing comes; their items go on elsewhere.
+func (w *World) watch(now time.Time) {
+	if now.Before(w.watchAt) {
+		return
+	}
+	elapsed := min(now.Sub(w.watchAt)+watchEvery, 2*watchEvery)
+	w.watchAt = now.Add(watchEvery)
+	w.running.Each(func(number uint64, row *runningRow) {
+		quiet := row.watch.Look(min(elapsed, now.Sub(row.started)))
+		bound := silentNext
+		if !row.watch.Moved() {
+			bound = silentFirst
+		}
+		if quiet < bound || row.stopping {
+			return
+		}
+		event.ItemSilent.Log(w.logger, "job", row.key.job, "item", row.key.item, "backend", row.backend,
+			"quiet_ms", quiet.Milliseconds(), "ran_ms", now.Sub(row.started).Milliseconds())
+		row.silent = true
+		w.halt(number, row)
+	})
+}
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -58,6 +58,7 @@
 	order    []string // jobs by due time, hopeless ones last
 	pace     pace
 	expireAt time.Time
+	watchAt  time.Time // of the next look for silence
 	waiting  bool      // items wait for a slot or a pause
 	fillAt   time.Time // of the next look for free slots
 	changed  bool      // jobs or attempts changed since the last look
@@ -204,6 +205,7 @@
 	if !w.leading {
 		return
 	}
+	w.watch(now)
 	w.yield(now)
 	w.expire(now)
 	if now.Before(w.fillAt) || !w.mayStart {
@@ -232,5 +234,8 @@
 	if w.waiting {
 		return now.Add(retryInterval), true
 	}
+	if w.running.Len() > 0 && w.watchAt.Before(w.expireAt) {
+		return w.watchAt, true
+	}
 	return w.expireAt, true
 }
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -58,7 +58,7 @@
 		tell := func(end runner.End, text []byte, last uint64) {
 			p.inbox.Post(cluster.ItemEnded(runner.NewOutcome(a.Number(), end, text, last)))
 		}
-		tell(p.forward.Collect(ctx, request, a.Backend(), a.Last(),
+		tell(p.forward.Collect(ctx, request, a.Backend(), a.Last(), a.Progress(),
 			func(text []byte, last uint64) { tell(runner.EndPart, text, last) }))
 	}()
 }
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"papayaquay/core/entry"
+	"papayaquay/core/progress"
 	"papayaquay/io/forward"
 )
 
@@ -49,10 +50,10 @@
 // request as Final says. The context ends when the caller must have an answer.
 func (p *Process) Pass(ctx context.Context, w http.ResponseWriter, passage Passage) (final Final, ok bool) {
 	decisions := make(chan entry.Decision, 1)
-	progress := entry.NewProgress()
+	counter := progress.New()
 	var current attempt
-	p.traffic.Post(entry.Submit(passage.request, progress, func(d entry.Decision) { decisions <- d }, current.abandon))
-	relay := p.forward.NewRelay(passage.forward, w, passage.resumable, progress)
+	p.traffic.Post(entry.Submit(passage.request, counter, func(d entry.Decision) { decisions <- d }, current.abandon))
+	relay := p.forward.NewRelay(passage.forward, w, passage.resumable, counter)
 	for {
 		d := <-decisions
 		if d.Action() != entry.ActionSend {
--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"papayaquay/core/member"
+	"papayaquay/core/progress"
 	"papayaquay/core/runner"
 )
 
@@ -18,10 +19,10 @@
 const partEvents = 48
 
 // Collect runs a request on one server and collects the data of its events
-// after the one with the id last, separated by line feeds. part is told of
-// output on the way. It returns how that ended, the text after the last part
+// after the one with the id last, separated by line feeds. counter counts the
+// reads, part is told of output on the way. It returns how that ended, the text after the last part
 // and the id of the newest event.
-func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, last uint64, part func(text []byte, last uint64)) (runner.End, []byte, uint64) {
+func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, last uint64, counter *progress.Counter, part func(text []byte, last uint64)) (runner.End, []byte, uint64) {
 	a, sent := c.send(ctx, r, b, last)
 	switch {
 	case a == nil && ctx.Err() != nil:
@@ -32,6 +33,7 @@
 		return runner.EndNotRun, nil, last
 	}
 	defer a.response.Body.Close()
+	counter.Note()
 	switch {
 	case a.head.notRun:
 		drain(a.response.Body)
@@ -45,7 +47,7 @@
 		drain(a.response.Body)
 		return runner.EndFailed, nil, last
 	}
-	text, newest, err := collectEvents(ctx, a.response.Body, last, part)
+	text, newest, err := collectEvents(ctx, a.response.Body, last, counter, part)
 	switch {
 	case err == io.EOF:
 		return runner.EndDone, text, newest
@@ -57,7 +59,7 @@
 
 // collectEvents reads events until the body ends; the error is io.EOF when it
 // ended well.
-func collectEvents(ctx context.Context, body io.Reader, last uint64, part func(text []byte, last uint64)) ([]byte, uint64, error) {
+func collectEvents(ctx context.Context, body io.Reader, last uint64, counter *progress.Counter, part func(text []byte, last uint64)) ([]byte, uint64, error) {
 	events := scanner{last: last}
 	told := last
 	var text []byte
@@ -66,6 +68,7 @@
 	defer buffers.Put(buffer)
 	for {
 		n, err := body.Read(buffer[:])
+		counter.Note()
 		events.each(events.feed(buffer[:n]), func(_ uint64, data []byte) {
 			if !first {
 				text = append(text, '\n')
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -16,6 +16,7 @@
 
 	"papayaquay/core/entry"
 	"papayaquay/core/member"
+	"papayaquay/core/progress"
 	"papayaquay/core/runner"
 
 	qt "github.com/frankban/quicktest"
@@ -154,7 +155,7 @@
 			c := qt.New(t)
 			s := newServer(t, test.resets, test.answer)
 			out := httptest.NewRecorder()
-			relay := New(testDialect()).NewRelay(newRequest("POST"), out, test.resumable, entry.NewProgress())
+			relay := New(testDialect()).NewRelay(newRequest("POST"), out, test.resumable, progress.New())
 			end, _ := relay.Try(context.Background(), s.backend(), func(entry.Load) {})
 			c.Assert(end, qt.Equals, test.end)
 			c.Assert(out.Body.String(), qt.Equals, test.body)
@@ -175,7 +176,7 @@
 	first := newServer(t, true, head+chunk(events(1, 2)+"id: 3\n"))
 	second := newServer(t, false, head+chunk(events(3, 4))+"0\r\n\r\n")
 	out := httptest.NewRecorder()
-	relay := New(testDialect()).NewRelay(newRequest("POST"), out, true, entry.NewProgress())
+	relay := New(testDialect()).NewRelay(newRequest("POST"), out, true, progress.New())
 	end, _ := relay.Try(context.Background(), first.backend(), func(entry.Load) {})
 	c.Assert(end, qt.Equals, entry.EndBroken)
 	end, _ = relay.Try(context.Background(), second.backend(), func(entry.Load) {})
@@ -196,7 +197,7 @@
 			s := newServer(t, true, good, "")
 			client := New(testDialect())
 			for n, want := range []entry.End{entry.EndAnswered, entry.EndLost} {
-				relay := client.NewRelay(newRequest(test.method), httptest.NewRecorder(), false, entry.NewProgress())
+				relay := client.NewRelay(newRequest(test.method), httptest.NewRecorder(), false, progress.New())
 				end, _ := relay.Try(context.Background(), s.backend(), func(entry.Load) {})
 				c.Assert(end, qt.Equals, want)
 				requests, conns := s.count()
@@ -215,7 +216,7 @@
 	client := New(testDialect())
 	for range 2 {
 		out := httptest.NewRecorder()
-		relay := client.NewRelay(newRequest("POST"), out, false, entry.NewProgress())
+		relay := client.NewRelay(newRequest("POST"), out, false, progress.New())
 		end, _ := relay.Try(context.Background(), s.backend(), func(entry.Load) {})
 		c.Assert(strings.Contains(out.Body.String(), "wrong"), qt.IsFalse)
 		c.Assert(end == entry.EndAnswered || end == entry.EndLost, qt.IsTrue)
@@ -228,7 +229,7 @@
 	c := qt.New(t)
 	s := newServer(t, false)
 	s.listener.Close()
-	relay := New(testDialect()).NewRelay(newRequest("POST"), httptest.NewRecorder(), false, entry.NewProgress())
+	relay := New(testDialect()).NewRelay(newRequest("POST"), httptest.NewRecorder(), false, progress.New())
 	end, _ := relay.Try(context.Background(), s.backend(), func(entry.Load) {})
 	c.Assert(end, qt.Equals, entry.EndUnreachable)
 	c.Assert(relay.Ran(), qt.IsFalse)
@@ -255,7 +256,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			s := newServer(t, test.resets, test.answer)
-			end, text, last := New(testDialect()).Collect(context.Background(), newRequest("POST"), s.backend(), 2, func([]byte, uint64) {})
+			end, text, last := New(testDialect()).Collect(context.Background(), newRequest("POST"), s.backend(), 2, progress.New(), func([]byte, uint64) {})
 			c.Assert(end, qt.Equals, test.end)
 			c.Assert(string(text), qt.Equals, test.text)
 			c.Assert(last, qt.Equals, test.last)
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -9,6 +9,7 @@
 
 	"papayaquay/core/entry"
 	"papayaquay/core/member"
+	"papayaquay/core/progress"
 )
 
 // copyBytes is the size of buffers for bodies.
@@ -46,12 +47,12 @@
 	events    scanner
 	started   bool // the head went to the caller
 	ran       bool // some server may have run the request
-	progress  *entry.Progress
+	progress  *progress.Counter
 }
 
 // NewRelay returns a relay to a caller.
-func (c *Client) NewRelay(r Request, out http.ResponseWriter, resumable bool, progress *entry.Progress) *Relay {
-	return &Relay{client: c, request: r, out: out, resumable: resumable, progress: progress,
+func (c *Client) NewRelay(r Request, out http.ResponseWriter, resumable bool, counter *progress.Counter) *Relay {
+	return &Relay{client: c, request: r, out: out, resumable: resumable, progress: counter,
 		flush: http.NewResponseController(out).Flush}
 }
 
@@ -83,7 +84,7 @@
 	case !a.head.mine || (r.started && a.response.StatusCode != http.StatusOK):
 		return entry.EndLost, load
 	}
-	r.progress.Note(r.client.now())
+	r.progress.Note()
 	heard(load)
 	return r.copy(ctx, a), load
 }
@@ -123,7 +124,7 @@
 	defer buffers.Put(buffer)
 	for {
 		n, err := a.response.Body.Read(buffer[:])
-		r.progress.Note(r.client.now())
+		r.progress.Note()
 		chunk := buffer[:n]
 		if resumable {
 			chunk = r.events.feed(chunk)
