--- /dev/null
+++ b/core/control/hosts.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"papayaquay/core/config"
+	"papayaquay/core/home"
+	"papayaquay/core/ledger"
+	"papayaquay/core/member"
+	"papayaquay/core/table"
+	"papayaquay/core/timer"
+)
+
+// homeRow is a hosted home ledger.
+type homeRow struct {
+	state    *home.State
+	encoding bool // a snapshot is being encoded
+	expiring bool // an expire command is under way
+}
+
+// hostWorld is the sub-world of the state machines of the ledgers hosted here.
+type hostWorld struct {
+	self         string
+	logger       *slog.Logger
+	codec        Codec
+	members      *member.World
+	ledgers      *ledger.World
+	calls        *callWorld
+	out          func(to string) *Packet
+	persist      func(sequence uint64, records []ledger.Record)
+	background   func(func())
+	post         func(Input)
+	submitted    func(id ledger.ID) // a job was committed
+	compactAfter uint64
+
+	states         *table.Table[ledger.ID, homeRow]
+	config         *config.State
+	configEncoding bool
+	proposals      *table.Table[proposalKey, proposalRow]
+	claims         *table.Table[claimKey, claimRow]
+	waiters        *table.Table[uint64, waiterRow]
+	wake           bool // waiting calls must be looked at
+	wakeDue        *timer.Subscription
+	expireDue      *timer.Subscription
+}
+
+// newHostWorld returns the state machines of the placed ledgers that are
+// hosted here.
+func newHostWorld(members *member.World, ledgers *ledger.World, calls *callWorld, codec Codec) *hostWorld {
+	w := &hostWorld{self: members.Self().Name(), codec: codec, members: members, ledgers: ledgers, calls: calls,
+		submitted: func(ledger.ID) {},
+		states:    table.New[ledger.ID, homeRow](), proposals: table.New[proposalKey, proposalRow](),
+		claims: table.New[claimKey, claimRow](), waiters: table.New[uint64, waiterRow]()}
+	for _, p := range calls.placements {
+		switch {
+		case !ledgers.Hosts(p.ledger):
+		case IsHome(p.ledger) || IsLocal(p.ledger):
+			w.states.Put(p.ledger, homeRow{state: home.New()})
+		case p.ledger == ConfigLedger:
+			w.config = config.New()
+		}
+	}
+	return w
+}
+
+// subscribe registers what acts on deadlines.
+func (w *hostWorld) subscribe(now time.Time, timers *timer.Service) {
+	w.wakeDue = timers.Subscribe("wake", func(time.Time) { w.wake = true })
+	w.expireDue = timers.Subscribe("expire", w.expire)
+	w.expireDue.Arm(now.Add(expireInterval))
+}
--- /dev/null
+++ b/core/control/notes.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"log/slog"
+
+	"papayaquay/core/event"
+	"papayaquay/core/ledger"
+	"papayaquay/core/member"
+)
+
+// backendNote is what was last logged of a backend server.
+type backendNote struct {
+	incarnation uint64
+	leaving     bool
+	gone        bool
+}
+
+// noteWorld is the sub-world that logs what changed since the last tick.
+type noteWorld struct {
+	logger   *slog.Logger
+	members  *member.World
+	ledgers  *ledger.World
+	backends map[string]backendNote
+	states   map[string]member.State
+	leaders  map[ledger.ID]string
+}
+
+// newNoteWorld returns the sub-world before anything was logged.
+func newNoteWorld(members *member.World, ledgers *ledger.World, logger *slog.Logger) *noteWorld {
+	return &noteWorld{logger: logger, members: members, ledgers: ledgers, backends: make(map[string]backendNote),
+		states: make(map[string]member.State), leaders: make(map[ledger.ID]string)}
+}
+
+// noteInstances logs changes in the state of instances.
+func (w *noteWorld) noteInstances() {
+	for _, i := range w.members.Instances() {
+		if w.states[i.Name()] == i.State() || i.State() == 0 {
+			continue
+		}
+		w.states[i.Name()] = i.State()
+		event.InstanceChanged.Log(w.logger, "instance", i.Name(), "dc", i.DataCentre(), "state", i.State().String())
+	}
+}
+
+// noteLeaders logs changes of the leaders of hosted ledgers.
+func (w *noteWorld) noteLeaders() {
+	for _, l := range w.ledgers.Statuses() {
+		if w.leaders[l.Ledger()] == l.Leader() {
+			continue
+		}
+		w.leaders[l.Ledger()] = l.Leader()
+		event.LeaderChanged.Log(w.logger, "ledger", l.Ledger(), "leader", l.Leader(), "term", l.Term())
+	}
+}
+
+// noteBackend logs the first sight, the leaving and the loss of a backend server.
+func (w *noteWorld) noteBackend(b member.Backend) {
+	state := backendNote{incarnation: b.Incarnation(), leaving: b.Leaving(), gone: b.Gone()}
+	if w.backends[b.ID()] == state {
+		return
+	}
+	w.backends[b.ID()] = state
+	switch {
+	case state.gone:
+		event.BackendGone.Log(w.logger, "backend", b.ID())
+	case state.leaving:
+		event.BackendLeaving.Log(w.logger, "backend", b.ID())
+	default:
+		event.BackendAdded.Log(w.logger, "backend", b.ID(), "address", b.Address(), "dc", b.DataCentre())
+	}
+}
--- a/core/control/receive.go
+++ b/core/control/receive.go
@@ -14,21 +14,21 @@
 	case input.synced != 0:
 		w.ledgers.Stable(input.synced)
 	case input.call != nil:
-		w.addCall(now, *input.call, input.reply, false)
+		w.calls.add(now, *input.call, input.reply, false)
 	case input.announce != nil:
 		w.members.Announce(now, *input.announce)
 	case input.status != nil:
 		input.status(w.status(now))
 	case input.item != nil:
-		w.endItem(now, *input.item)
+		w.items.endItem(now, *input.item)
 	case input.usage:
-		w.demandDue.ArmBefore(now.Add(demandPause))
-		w.batchDue.ArmBefore(now)
+		w.demand.due.ArmBefore(now.Add(demandPause))
+		w.items.due.ArmBefore(now)
 	case input.suspect != nil:
-		w.learnSuspicion(now, *input.suspect, true)
+		w.suspicions.learn(now, *input.suspect, true)
 	case input.drain != nil:
 		event.Draining.Log(w.logger)
-		w.draining, w.drained, w.stale = true, input.drain, true
+		w.tick.draining, w.tick.stale, w.drained = true, true, input.drain
 	case input.leave != nil:
 		w.members.Leave(now)
 		w.flushOutbox()
@@ -49,47 +49,34 @@
 		w.ledgers.Receive(now, m)
 	}
 	for _, f := range p.calls {
-		w.receiveForward(now, p.from, f)
+		w.calls.receiveForward(now, p.from, f)
 	}
 	for _, b := range p.answers {
-		w.receiveBackward(now, p.from, b)
+		w.calls.receiveBackward(now, p.from, b)
 	}
 	for _, pull := range p.pulls {
-		w.pulls.Put(pullKey{from: p.from}, pullRow{pull: pull, until: now.Add(pullHold)})
+		w.config.pulls.Put(pullKey{from: p.from}, pullRow{pull: pull, until: now.Add(pullHold)})
 	}
 	for _, push := range p.pushes {
-		w.receivePush(now, p.from, push)
+		w.config.receivePush(now, p.from, push)
 	}
 	for _, d := range p.demands {
-		w.demands.Put(demandKey{backend: d.backend, instance: p.from}, demandRow{online: d.online, at: now})
-		w.batchDue.ArmBefore(now)
+		w.demand.take(now, p.from, d)
+		w.items.due.ArmBefore(now)
 	}
 	if p.work {
-		w.pollSoon()
+		w.items.pollSoon()
 	}
 	for _, s := range p.spread {
-		w.learnSuspicion(now, s, false)
+		w.suspicions.learn(now, s, false)
 	}
 }
 
-// out returns the packet that the tick builds for an instance.
-func (w *World) out(to string) *Packet {
-	if p := w.outbox.Get(to); p != nil {
-		return p
-	}
-	return w.outbox.Put(to, Packet{from: w.name, to: to})
-}
-
 // flushOutbox hands over the packets of the tick.
 func (w *World) flushOutbox() {
 	for _, m := range w.members.Output() {
-		p := w.out(m.To())
+		p := w.outbox.to(m.To())
 		p.members = append(p.members, m)
 	}
-	w.outbox.Each(func(to string, p *Packet) {
-		if p.address = w.members.AddressOf(to); p.address != "" {
-			w.send(*p)
-		}
-		w.outbox.Remove(to)
-	})
+	w.outbox.flush(w.members.AddressOf, w.send)
 }
--- a/core/control/status.go
+++ b/core/control/status.go
@@ -56,12 +56,12 @@
 func (w *World) status(now time.Time) Status {
 	s := Status{
 		instance: w.members.Self(), instances: w.members.Instances(),
-		ledgers: w.ledgers.Statuses(), revision: w.view.Revision(),
+		ledgers: w.ledgers.Statuses(), revision: w.config.view.Revision(),
 	}
-	running := w.runningItems()
+	running := w.items.runningItems()
 	for _, b := range w.members.Backends() {
 		s.backends = append(s.backends, BackendStatus{
-			backend: b, online: w.onlineOn(now, b.ID()), batch: len(running[b.ID()])})
+			backend: b, online: w.demand.onlineOn(now, b.ID()), batch: len(running[b.ID()])})
 	}
 	s.problems = w.problems(now)
 	return s
@@ -85,17 +85,17 @@
 		if l.Leader() == "" {
 			note("ledger %s has no leader", l.Ledger())
 		}
-		if l.Leader() == w.name && !w.ledgers.Leads(now, l.Ledger()) {
+		if l.Leader() == w.outbox.self && !w.ledgers.Leads(now, l.Ledger()) {
 			note("ledger %s is led here without a quorum", l.Ledger())
 		}
 	}
-	if !w.loaded {
+	if !w.config.loaded {
 		note("the configuration was not received yet")
 	}
 	if w.diskErr != nil {
 		note("the disk refuses writes: %v", w.diskErr)
 	}
-	if w.draining {
+	if w.tick.draining {
 		note("this instance shuts down")
 	}
 	return problems
--- a/core/control/system_apply.go
+++ b/core/control/system_apply.go
@@ -24,7 +24,7 @@
 
 // apply hands records to the disk and messages to the outbox, and applies
 // committed entries to the state machines.
-func (w *World) apply(now time.Time) {
+func (w *hostWorld) apply(now time.Time) {
 	messages, records, sequence, committed := w.ledgers.Output()
 	if sequence != 0 {
 		w.persist(sequence, records)
@@ -43,7 +43,7 @@
 }
 
 // applyOne applies one entry or loads one snapshot.
-func (w *World) applyOne(now time.Time, c ledger.Committed) {
+func (w *hostWorld) applyOne(now time.Time, c ledger.Committed) {
 	if c.Snapshot().Index() > 0 {
 		w.restore(c)
 		return
@@ -56,26 +56,26 @@
 	var result Result
 	if c.Ledger() == ConfigLedger {
 		result = w.applyChange(now, entry)
-	} else if row := w.homeStates.Get(c.Ledger()); row != nil {
+	} else if row := w.states.Get(c.Ledger()); row != nil {
 		result = w.applyHome(c.Ledger(), row, entry)
 	}
 	w.settle(now, c.Ledger(), entry, result, true)
 }
 
 // applyChange applies a configuration change.
-func (w *World) applyChange(now time.Time, entry ledger.Entry) Result {
+func (w *hostWorld) applyChange(now time.Time, entry ledger.Entry) Result {
 	change, err := w.codec.decodeChange(entry.Payload())
 	if err != nil {
 		event.CommandInvalid.Log(w.logger, "ledger", ConfigLedger, "index", entry.Index(), "error", err)
 		return NewResult(err)
 	}
-	verdict := w.configState.Apply(change)
-	event.ConfigApplied.Log(w.logger, "revision", w.configState.Revision(), "lag", now.Sub(change.At()))
+	verdict := w.config.Apply(change)
+	event.ConfigApplied.Log(w.logger, "revision", w.config.Revision(), "lag", now.Sub(change.At()))
 	return NewResult(nil, WithVerdict(verdict))
 }
 
 // applyHome applies a home command.
-func (w *World) applyHome(id ledger.ID, row *homeRow, entry ledger.Entry) Result {
+func (w *hostWorld) applyHome(id ledger.ID, row *homeRow, entry ledger.Entry) Result {
 	command, err := w.codec.decodeCommand(entry.Payload())
 	if err != nil {
 		event.CommandInvalid.Log(w.logger, "index", entry.Index(), "error", err)
@@ -85,15 +85,14 @@
 		row.expiring = false
 	}
 	if command.Kind() == home.CommandSubmit {
-		w.pollSoon()
-		w.tellRunners(id)
+		w.submitted(id)
 	}
 	return NewResult(nil, WithReply(row.state.Apply(command)))
 }
 
 // settle answers the call whose command stood at the entry's position. If
 // another leader's entry took the position, the call is sent again.
-func (w *World) settle(now time.Time, id ledger.ID, entry ledger.Entry, result Result, command bool) {
+func (w *hostWorld) settle(now time.Time, id ledger.ID, entry ledger.Entry, result Result, command bool) {
 	key := proposalKey{ledger: id, index: entry.Index()}
 	p := w.proposals.Get(key)
 	if p == nil {
@@ -101,32 +100,32 @@
 	}
 	w.proposals.Remove(key)
 	if command && p.term == entry.Term() {
-		w.finishCall(p.call, result)
+		w.calls.finish(p.call, result)
 		return
 	}
-	w.retryCall(now, p.call)
+	w.calls.retry(now, p.call)
 }
 
 // dropLostProposals sends calls again whose ledger is no longer led here.
-func (w *World) dropLostProposals() {
+func (w *hostWorld) dropLostProposals() {
 	w.proposals.Each(func(key proposalKey, p *proposalRow) {
-		if w.ledgers.LeaderOf(key.ledger) != w.name {
+		if w.ledgers.LeaderOf(key.ledger) != w.self {
 			w.proposals.Remove(key)
-			w.retryCall(time.Time{}, p.call)
+			w.calls.retry(time.Time{}, p.call)
 		}
 	})
 }
 
 // restore loads a snapshot into a state machine.
-func (w *World) restore(c ledger.Committed) {
+func (w *hostWorld) restore(c ledger.Committed) {
 	data := c.Snapshot().Data()
 	var err error
 	if c.Ledger() == ConfigLedger {
 		var state *config.State
 		if state, err = w.codec.decodeConfig(data); err == nil {
-			w.configState = state
+			w.config = state
 		}
-	} else if row := w.homeStates.Get(c.Ledger()); row != nil {
+	} else if row := w.states.Get(c.Ledger()); row != nil {
 		var records home.Records
 		if records, err = w.codec.decodeHome(data); err == nil {
 			row.state = home.Restore(records)
@@ -141,8 +140,8 @@
 
 // compact starts snapshots of ledgers whose logs have grown. The state is
 // exported here and encoded off the control thread.
-func (w *World) compact() {
-	w.homeStates.Each(func(id ledger.ID, row *homeRow) {
+func (w *hostWorld) compact() {
+	w.states.Each(func(id ledger.ID, row *homeRow) {
 		if row.encoding || w.ledgers.Uncompacted(id) < w.compactAfter {
 			return
 		}
@@ -151,16 +150,16 @@
 		w.encode(id, index, func() ([]byte, error) { return w.codec.encodeHome(records) },
 			func() { row.encoding = false })
 	})
-	if w.configState != nil && !w.configEncoding && w.ledgers.Uncompacted(ConfigLedger) >= w.compactAfter {
+	if w.config != nil && !w.configEncoding && w.ledgers.Uncompacted(ConfigLedger) >= w.compactAfter {
 		w.configEncoding = true
-		state, index := w.configState.Copy(), w.ledgers.Applied(ConfigLedger)
+		state, index := w.config.Copy(), w.ledgers.Applied(ConfigLedger)
 		w.encode(ConfigLedger, index, func() ([]byte, error) { return w.codec.encodeConfig(state) },
 			func() { w.configEncoding = false })
 	}
 }
 
 // encode runs an encoder in the background and compacts with its result.
-func (w *World) encode(id ledger.ID, index uint64, encoder func() ([]byte, error), done func()) {
+func (w *hostWorld) encode(id ledger.ID, index uint64, encoder func() ([]byte, error), done func()) {
 	w.background(func() {
 		data, err := encoder()
 		w.post(Input{work: func() {
--- a/core/control/system_batch.go
+++ b/core/control/system_batch.go
@@ -4,37 +4,16 @@
 	"maps"
 	"time"
 
-	"papayaquay/core/home"
-	"papayaquay/core/ledger"
 	"papayaquay/core/member"
 )
 
-// itemRow is a leased item that this instance has to run.
-type itemRow struct {
-	home       ledger.ID
-	leased     home.Leased
-	backend    string    // where it runs, empty while it waits
-	dataCentre string    // of that backend server
-	since      time.Time // when it began to wait
-	prefix     string
-	tokens     int
-	tries      int
-	stopped    bool // told to stop
-	cancelled  bool // stopped for good
-}
-
-// pauseRow keeps items from a backend server that refused one.
-type pauseRow struct {
-	until time.Time
-}
-
-// runBatch leases items and runs them in the slots that online requests leave.
+// run leases items and runs them in the slots that online requests leave.
 // Only the leader of a data centre's home ledger does so, hence the slots of a
 // backend server have one owner.
-func (w *World) runBatch(now time.Time) {
+func (w *itemWorld) run(now time.Time) {
 	w.takeRole(now)
 	if len(w.roles) > 0 {
-		w.batchDue.ArmBefore(now.Add(pollInterval))
+		w.due.ArmBefore(now.Add(pollInterval))
 		free := w.dispatchItems(now)
 		w.pollHomes(now, free)
 		w.giveBack(now)
@@ -44,8 +23,8 @@
 
 // giveBack releases items that found no slot in time, so that another data
 // centre can run them.
-func (w *World) giveBack(now time.Time) {
-	w.items.Each(func(number uint64, item *itemRow) {
+func (w *itemWorld) giveBack(now time.Time) {
+	w.rows.Each(func(number uint64, item *itemRow) {
 		if item.backend == "" && now.Sub(item.since) > itemWait {
 			w.releaseItem(number, item)
 		}
@@ -55,10 +34,10 @@
 // takeRole updates the data centres whose batch slots this instance owns. At
 // the end of a role the items running there stop, since another instance owns
 // the slots then; without any role all items are given back.
-func (w *World) takeRole(now time.Time) {
+func (w *itemWorld) takeRole(now time.Time) {
 	roles := make(map[string]bool)
 	for _, id := range w.homes {
-		if !w.draining && w.ledgers.Leads(now, id) {
+		if !w.tick.draining && w.ledgers.Leads(now, id) {
 			roles[HomeDataCentre(id)] = true
 		}
 	}
@@ -66,7 +45,7 @@
 		return
 	}
 	w.roles = roles
-	w.items.Each(func(number uint64, item *itemRow) {
+	w.rows.Each(func(number uint64, item *itemRow) {
 		if item.backend == "" {
 			if len(roles) == 0 {
 				w.releaseItem(number, item)
@@ -81,14 +60,14 @@
 }
 
 // batchSlots returns how many batch items a backend server may run now.
-func (w *World) batchSlots(now time.Time, b member.Backend) int {
+func (w *itemWorld) batchSlots(now time.Time, b member.Backend) int {
 	reserve := max(1, b.Slots()/w.reserve)
 	return max(b.Slots()-reserve-w.onlineOn(now, b.ID()), 0)
 }
 
 // dispatchItems fills free slots with waiting items and takes slots back where
 // online requests need them. It returns how many more items could run.
-func (w *World) dispatchItems(now time.Time) int {
+func (w *itemWorld) dispatchItems(now time.Time) int {
 	running := w.runningItems()
 	waiting := w.waitingItems()
 	free := 0
@@ -113,7 +92,7 @@
 }
 
 // paused reports whether a backend server refused an item lately.
-func (w *World) paused(now time.Time, backend string) bool {
+func (w *itemWorld) paused(now time.Time, backend string) bool {
 	row := w.pauses.Get(backend)
 	if row != nil && !now.Before(row.until) {
 		w.pauses.Remove(backend)
@@ -123,9 +102,9 @@
 }
 
 // runningItems returns the running items by backend server, oldest first.
-func (w *World) runningItems() map[string][]uint64 {
+func (w *itemWorld) runningItems() map[string][]uint64 {
 	running := make(map[string][]uint64)
-	w.items.Each(func(number uint64, item *itemRow) {
+	w.rows.Each(func(number uint64, item *itemRow) {
 		if item.backend != "" && !item.stopped {
 			running[item.backend] = append(running[item.backend], number)
 		}
@@ -134,10 +113,10 @@
 }
 
 // waitingItems returns the waiting items by service, resumed ones first.
-func (w *World) waitingItems() map[string][]uint64 {
+func (w *itemWorld) waitingItems() map[string][]uint64 {
 	waiting := make(map[string][]uint64)
 	for _, resumed := range []bool{true, false} {
-		w.items.Each(func(number uint64, item *itemRow) {
+		w.rows.Each(func(number uint64, item *itemRow) {
 			if item.backend == "" && (item.tokens > 0) == resumed {
 				service := item.leased.Service()
 				waiting[service] = append(waiting[service], number)
@@ -148,16 +127,16 @@
 }
 
 // startOn runs an item on a backend server.
-func (w *World) startOn(b member.Backend, number uint64) {
-	item := w.items.Get(number)
+func (w *itemWorld) startOn(b member.Backend, number uint64) {
+	item := w.rows.Get(number)
 	item.backend, item.dataCentre, item.stopped = b.ID(), b.DataCentre(), false
 	w.startItem(Item{number: number, leased: item.leased, backend: b.ID(), prefix: item.prefix, tokens: item.tokens})
 }
 
 // yieldItem stops an item to make room. Items that must not be repeated keep
 // running.
-func (w *World) yieldItem(number uint64) {
-	item := w.items.Get(number)
+func (w *itemWorld) yieldItem(number uint64) {
+	item := w.rows.Get(number)
 	if item.stopped || item.leased.Once() {
 		return
 	}
--- a/core/control/system_demand.go
+++ b/core/control/system_demand.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"papayaquay/core/member"
+	"papayaquay/core/table"
+	"papayaquay/core/timer"
 )
 
 // demandKey names a report of online load.
@@ -24,16 +26,49 @@
 	at     time.Time
 }
 
-// suspectRow is the known crash count of a fingerprint.
-type suspectRow struct {
-	crashes int
-	at      time.Time
+// demandWorld is the sub-world of the online load on backend servers.
+type demandWorld struct {
+	self    string
+	members *member.World
+	out     func(to string) *Packet
+	runner  func(dataCentre string) string // who runs batch items there
+
+	usages   *table.Table[string, *Usage]
+	rows     *table.Table[demandKey, demandRow]
+	reported *table.Table[string, reportRow]
+	due      *timer.Subscription
+}
+
+// newDemandWorld returns the sub-world without load.
+func newDemandWorld(members *member.World, runner func(dataCentre string) string, out func(to string) *Packet) *demandWorld {
+	return &demandWorld{self: members.Self().Name(), members: members, runner: runner, out: out,
+		usages: table.New[string, *Usage](), rows: table.New[demandKey, demandRow](),
+		reported: table.New[string, reportRow]()}
+}
+
+// subscribe registers what acts on deadlines.
+func (w *demandWorld) subscribe(now time.Time, timers *timer.Service) {
+	w.due = timers.Subscribe("demand", w.report)
+	w.due.Arm(now.Add(demandRefresh))
+}
+
+// take keeps what another instance reported.
+func (w *demandWorld) take(now time.Time, from string, d Demand) {
+	w.rows.Put(demandKey{backend: d.backend, instance: from}, demandRow{online: d.online, at: now})
+}
+
+// usageOf returns the shared counters of a backend server.
+func (w *demandWorld) usageOf(backend string) *Usage {
+	if usage := w.usages.Get(backend); usage != nil {
+		return *usage
+	}
+	return *w.usages.Put(backend, &Usage{})
 }
 
 // report tells the batch runners how many online requests this instance runs
 // on their backend servers, when the number changed or the report is old.
-func (w *World) report(now time.Time) {
-	w.demandDue.Arm(now.Add(demandRefresh))
+func (w *demandWorld) report(now time.Time) {
+	w.due.Arm(now.Add(demandRefresh))
 	for _, b := range w.members.Backends() {
 		usage := w.usages.Get(b.ID())
 		if usage == nil {
@@ -45,59 +80,26 @@
 			continue
 		}
 		w.reported.Put(b.ID(), reportRow{online: online, at: now})
-		if runner := w.runnerOf(b.DataCentre()); runner != "" && runner != w.name {
+		if runner := w.runner(b.DataCentre()); runner != "" && runner != w.self {
 			p := w.out(runner)
 			p.demands = append(p.demands, NewDemand(b.ID(), online))
 		}
 	}
 }
 
-// runnerOf returns the instance that runs batch items on the backend servers
-// of a data centre: the leader of its home ledger.
-func (w *World) runnerOf(dataCentre string) string {
-	for _, id := range w.homes {
-		if HomeDataCentre(id) == dataCentre {
-			return w.believedLeader(id)
-		}
-	}
-	return ""
-}
-
 // onlineOn returns how many online requests run on a backend server.
-func (w *World) onlineOn(now time.Time, backend string) int {
+func (w *demandWorld) onlineOn(now time.Time, backend string) int {
 	online := 0
 	if usage := w.usages.Get(backend); usage != nil {
 		online = int((*usage).online.Load())
 	}
 	for _, i := range w.members.Instances() {
-		if i.Name() == w.name || !i.Reachable() {
+		if i.Name() == w.self || !i.Reachable() {
 			continue
 		}
-		if d := w.demands.Get(demandKey{backend: backend, instance: i.Name()}); d != nil && now.Sub(d.at) < demandExpiry {
+		if d := w.rows.Get(demandKey{backend: backend, instance: i.Name()}); d != nil && now.Sub(d.at) < demandExpiry {
 			online += d.online
 		}
 	}
 	return online
 }
-
-// learnSuspicion takes a crash count and spreads it if it is news.
-func (w *World) learnSuspicion(now time.Time, s Suspicion, own bool) {
-	row := w.suspects.Get(s.fingerprint)
-	if row != nil && row.crashes >= s.crashes && !own {
-		return
-	}
-	if row != nil {
-		s.crashes = max(s.crashes, row.crashes)
-	}
-	w.suspects.Put(s.fingerprint, suspectRow{crashes: s.crashes, at: now})
-	w.stale = true
-	if !own {
-		return
-	}
-	for _, i := range w.members.Instances() {
-		if i.Name() != w.name && i.State() == member.StateAlive {
-			p := w.out(i.Name())
-			p.spread = append(p.spread, s)
-		}
-	}
-}
--- a/core/control/system_items.go
+++ b/core/control/system_items.go
@@ -17,9 +17,9 @@
 }
 
 // endItem takes the end of an item's attempt.
-func (w *World) endItem(now time.Time, r ItemResult) {
-	w.batchDue.ArmBefore(now)
-	item := w.items.Get(r.number)
+func (w *itemWorld) endItem(now time.Time, r ItemResult) {
+	w.due.ArmBefore(now)
+	item := w.rows.Get(r.number)
 	if item == nil {
 		return
 	}
@@ -41,7 +41,7 @@
 
 // failItem runs a failed item again, up to maxItemTries attempts, and counts a
 // lost backend server against the item's content.
-func (w *World) failItem(now time.Time, r ItemResult, item *itemRow) {
+func (w *itemWorld) failItem(now time.Time, r ItemResult, item *itemRow) {
 	item.tries++
 	if item.leased.Once() {
 		w.answerItem(r.number, item, home.NewAnswer(outcome.Unknown, "", 0, "the only attempt failed", item.backend, now))
@@ -59,7 +59,7 @@
 }
 
 // flushOf returns the collected items of a home ledger.
-func (w *World) flushOf(id ledger.ID) *flushRow {
+func (w *itemWorld) flushOf(id ledger.ID) *flushRow {
 	if row := w.flushes.Get(id); row != nil {
 		return row
 	}
@@ -67,22 +67,22 @@
 }
 
 // answerItem queues an item's final answer for its home ledger.
-func (w *World) answerItem(number uint64, item *itemRow, answer home.Answer) {
+func (w *itemWorld) answerItem(number uint64, item *itemRow, answer home.Answer) {
 	flush := w.flushOf(item.home)
 	flush.answered = append(flush.answered, home.NewCompletion(item.leased.Job(), item.leased.Index(), answer))
-	w.items.Remove(number)
+	w.rows.Remove(number)
 }
 
 // releaseItem queues an item to be given back.
-func (w *World) releaseItem(number uint64, item *itemRow) {
+func (w *itemWorld) releaseItem(number uint64, item *itemRow) {
 	flush := w.flushOf(item.home)
 	flush.released = append(flush.released, home.NewCompletion(item.leased.Job(), item.leased.Index(), home.Answer{}))
-	w.items.Remove(number)
+	w.rows.Remove(number)
 }
 
 // flushItems commits collected items, one command at a time for each ledger,
 // so that a slow ledger gathers larger commands.
-func (w *World) flushItems(now time.Time) {
+func (w *itemWorld) flushItems(now time.Time) {
 	w.flushes.Each(func(id ledger.ID, flush *flushRow) {
 		if flush.outstanding {
 			return
@@ -100,15 +100,15 @@
 
 // commitItems sends one command with collected items. Answers whose command
 // got no reply are queued again; the first answer of an item wins.
-func (w *World) commitItems(now time.Time, id ledger.ID, flush *flushRow, kind home.CommandKind, items []home.Completion) {
+func (w *itemWorld) commitItems(now time.Time, id ledger.ID, flush *flushRow, kind home.CommandKind, items []home.Completion) {
 	flush.outstanding = true
 	command := home.NewCommand(kind, home.Key{}, now, home.WithOwner(w.owner, now), home.WithCompletions(items))
 	call := NewCall(CallApply, id, now.Add(w.lease), WithCommand(command))
-	w.addCall(now, call, func(r Result) {
+	w.calls.add(now, call, func(r Result) {
 		flush.outstanding = false
 		if r.err != nil && kind == home.CommandComplete {
 			flush.answered = append(items, flush.answered...)
 		}
-		w.again = true
+		w.tick.again = true
 	}, false)
 }
--- a/core/control/system_lease.go
+++ b/core/control/system_lease.go
@@ -17,9 +17,9 @@
 
 // pollHomes leases items from the home ledgers while there is room for more,
 // renews leases and learns of cancelled jobs.
-func (w *World) pollHomes(now time.Time, free int) {
+func (w *itemWorld) pollHomes(now time.Time, free int) {
 	waiting := 0
-	w.items.Each(func(_ uint64, item *itemRow) {
+	w.rows.Each(func(_ uint64, item *itemRow) {
 		if item.backend == "" {
 			waiting++
 		}
@@ -37,18 +37,18 @@
 }
 
 // pollHome sends one lease command.
-func (w *World) pollHome(now time.Time, id ledger.ID, poll *pollRow, limit int) {
+func (w *itemWorld) pollHome(now time.Time, id ledger.ID, poll *pollRow, limit int) {
 	poll.number++
 	poll.outstanding = true
 	number := poll.number
 	command := home.NewCommand(home.CommandLease, home.Key{}, now,
 		home.WithOwner(w.owner, now.Add(w.lease)), home.WithLimit(limit), home.WithNumber(number))
 	call := NewCall(CallApply, id, now.Add(w.lease/2), WithCommand(command))
-	w.addCall(now, call, func(r Result) { w.leasedItems(id, r) }, false)
+	w.calls.add(now, call, func(r Result) { w.leasedItems(id, r) }, false)
 }
 
 // leasedItems takes the answer to a lease command.
-func (w *World) leasedItems(id ledger.ID, r Result) {
+func (w *itemWorld) leasedItems(id ledger.ID, r Result) {
 	poll := w.polls.Get(id)
 	poll.outstanding = false
 	if r.err != nil {
@@ -58,8 +58,8 @@
 	}
 	for _, leased := range r.reply.Leased() {
 		if w.findItem(leased) == 0 {
-			w.lastItem++
-			w.items.Put(w.lastItem, itemRow{home: id, leased: leased, since: w.tickTime})
+			w.last++
+			w.rows.Put(w.last, itemRow{home: id, leased: leased, since: w.tick.now})
 		}
 	}
 	for _, key := range r.reply.Cancelled() {
@@ -67,39 +67,46 @@
 	}
 	if len(r.reply.Leased()) == 0 {
 		poll.pause = min(max(2*poll.pause, pollInterval), maxPollPause)
-		if w.items.Len() > 0 {
+		if w.rows.Len() > 0 {
 			poll.pause = pollInterval // leases are renewed and cancelled jobs noticed
 		}
-		poll.due = w.tickTime.Add(poll.pause)
+		poll.due = w.tick.now.Add(poll.pause)
 		return
 	}
 	poll.pause = 0
-	w.again = true
+	w.tick.again = true
 }
 
 // pollSoon makes the next tick poll all home ledgers.
-func (w *World) pollSoon() {
+func (w *itemWorld) pollSoon() {
 	w.polls.Each(func(_ ledger.ID, poll *pollRow) { poll.due, poll.pause = time.Time{}, 0 })
-	w.batchDue.ArmBefore(time.Time{})
+	w.due.ArmBefore(time.Time{})
+}
+
+// submitted looks for the items of a job that was committed to a home ledger,
+// here and at the runners of the other data centres.
+func (w *itemWorld) submitted(id ledger.ID) {
+	w.pollSoon()
+	w.tellRunners(id)
 }
 
 // tellRunners lets the runners of all data centres know of new items in a home
 // ledger that is led here.
-func (w *World) tellRunners(id ledger.ID) {
-	if w.ledgers.LeaderOf(id) != w.name {
+func (w *itemWorld) tellRunners(id ledger.ID) {
+	if w.ledgers.LeaderOf(id) != w.self {
 		return
 	}
 	for _, other := range w.homes {
-		if runner := w.believedLeader(other); runner != "" && runner != w.name {
+		if runner := w.calls.believedLeader(other); runner != "" && runner != w.self {
 			w.out(runner).work = true
 		}
 	}
 }
 
 // findItem returns the number of an item that is held already, or zero.
-func (w *World) findItem(leased home.Leased) uint64 {
+func (w *itemWorld) findItem(leased home.Leased) uint64 {
 	found := uint64(0)
-	w.items.Each(func(number uint64, item *itemRow) {
+	w.rows.Each(func(number uint64, item *itemRow) {
 		if item.leased.Job() == leased.Job() && item.leased.Index() == leased.Index() {
 			found = number
 		}
@@ -108,8 +115,8 @@
 }
 
 // cancelJob stops and gives back all items of a job.
-func (w *World) cancelJob(key home.Key) {
-	w.items.Each(func(number uint64, item *itemRow) {
+func (w *itemWorld) cancelJob(key home.Key) {
+	w.rows.Each(func(number uint64, item *itemRow) {
 		if item.leased.Job() != key {
 			return
 		}
--- a/core/control/system_move.go
+++ b/core/control/system_move.go
@@ -5,6 +5,8 @@
 
 	"papayaquay/core/home"
 	"papayaquay/core/ledger"
+	"papayaquay/core/table"
+	"papayaquay/core/timer"
 )
 
 // Bounds of the moving of strays.
@@ -23,12 +25,36 @@
 // strayRow marks a stray that is being moved.
 type strayRow struct{}
 
+// strayWorld is the sub-world that moves answers from local ledgers home.
+type strayWorld struct {
+	ledgers *ledger.World
+	calls   *callWorld
+	homes   []ledger.ID
+	states  *table.Table[ledger.ID, homeRow]
+	tick    *tickState
+
+	rows *table.Table[strayKey, strayRow]
+	due  *timer.Subscription
+}
+
+// newStrayWorld returns the sub-world of the state machines hosted here.
+func newStrayWorld(hosts *hostWorld, homes []ledger.ID, tick *tickState) *strayWorld {
+	return &strayWorld{ledgers: hosts.ledgers, calls: hosts.calls, homes: homes, states: hosts.states, tick: tick,
+		rows: table.New[strayKey, strayRow]()}
+}
+
+// subscribe registers what acts on deadlines.
+func (w *strayWorld) subscribe(now time.Time, timers *timer.Service) {
+	w.due = timers.Subscribe("move", w.moveStrays)
+	w.due.Arm(now.Add(moveInterval))
+}
+
 // moveStrays hands the answers in local ledgers led here to their home
 // ledgers. The first committed answer of a key wins there; the local copy is
 // forgotten only after the home ledger confirmed one.
-func (w *World) moveStrays(now time.Time) {
-	w.moveDue.Arm(now.Add(moveInterval))
-	w.homeStates.Each(func(id ledger.ID, row *homeRow) {
+func (w *strayWorld) moveStrays(now time.Time) {
+	w.due.Arm(now.Add(moveInterval))
+	w.states.Each(func(id ledger.ID, row *homeRow) {
 		if !IsLocal(id) || !w.ledgers.Leads(now, id) {
 			return
 		}
@@ -39,17 +65,17 @@
 }
 
 // moveStray moves one answer.
-func (w *World) moveStray(now time.Time, local ledger.ID, stray home.Completion) {
+func (w *strayWorld) moveStray(now time.Time, local ledger.ID, stray home.Completion) {
 	key := strayKey{ledger: local, key: stray.Job()}
-	if w.strays.Get(key) != nil {
+	if w.rows.Get(key) != nil {
 		return
 	}
-	w.strays.Put(key, strayRow{})
+	w.rows.Put(key, strayRow{})
 	put := home.NewCommand(home.CommandPutAnswer, stray.Job(), now, home.WithAnswer(stray.Answer()))
 	call := NewCall(CallApply, HomeOf(w.homes, stray.Job()), now.Add(moveTimeout), WithCommand(put))
-	w.addCall(now, call, func(r Result) {
+	w.calls.add(now, call, func(r Result) {
 		if r.err != nil {
-			w.strays.Remove(key)
+			w.rows.Remove(key)
 			return
 		}
 		w.forgetStray(local, key)
@@ -57,9 +83,9 @@
 }
 
 // forgetStray removes the local copy of a moved answer.
-func (w *World) forgetStray(local ledger.ID, key strayKey) {
-	command := home.NewCommand(home.CommandForget, key.key, w.tickTime)
-	call := NewCall(CallApply, local, w.tickTime.Add(moveTimeout), WithCommand(command))
-	w.addCall(w.tickTime, call, func(Result) { w.strays.Remove(key) }, false)
-	w.again = true
+func (w *strayWorld) forgetStray(local ledger.ID, key strayKey) {
+	command := home.NewCommand(home.CommandForget, key.key, w.tick.now)
+	call := NewCall(CallApply, local, w.tick.now.Add(moveTimeout), WithCommand(command))
+	w.calls.add(w.tick.now, call, func(Result) { w.rows.Remove(key) }, false)
+	w.tick.again = true
 }
--- a/core/control/system_serve.go
+++ b/core/control/system_serve.go
@@ -29,15 +29,15 @@
 }
 
 // serve answers a call at the ledger's leader.
-func (w *World) serve(now time.Time, number uint64, row *callRow) {
+func (w *hostWorld) serve(now time.Time, number uint64, row *callRow) {
 	call := row.call
 	if call.ledger == ConfigLedger {
 		w.serveConfig(number, row)
 		return
 	}
-	hosted := w.homeStates.Get(call.ledger)
+	hosted := w.states.Get(call.ledger)
 	if hosted == nil {
-		w.finishCall(number, NewResult(outcome.ErrNotFound))
+		w.calls.finish(number, NewResult(outcome.ErrNotFound))
 		return
 	}
 	switch call.kind {
@@ -48,27 +48,27 @@
 	case CallClaim:
 		w.serveClaim(now, number, row, hosted.state)
 	case CallJob:
-		w.finishCall(number, NewResult(nil, WithReply(hosted.state.JobStatus(call.key))))
+		w.calls.finish(number, NewResult(nil, WithReply(hosted.state.JobStatus(call.key))))
 	case CallResults:
-		w.finishCall(number, NewResult(nil, WithReply(hosted.state.Results(call.key, call.from, call.limit))))
+		w.calls.finish(number, NewResult(nil, WithReply(hosted.state.Results(call.key, call.from, call.limit))))
 	default:
-		w.finishCall(number, NewResult(outcome.ErrInvalid))
+		w.calls.finish(number, NewResult(outcome.ErrInvalid))
 	}
 }
 
 // serveApply commits a home command, unless its reply is known without.
-func (w *World) serveApply(number uint64, row *callRow, state *home.State) {
+func (w *hostWorld) serveApply(number uint64, row *callRow, state *home.State) {
 	command := row.call.command
 	switch command.Kind() {
 	case home.CommandLease:
 		if !state.LeaseDue(command) {
 			reply := home.NewReply(outcome.OK, "", home.WithCancelled(state.Cancelled(command.Owner())))
-			w.finishCall(number, NewResult(nil, WithReply(reply)))
+			w.calls.finish(number, NewResult(nil, WithReply(reply)))
 			return
 		}
 	case home.CommandPutAnswer:
 		if stored := state.Lookup(command.Key()); stored.Answer().Code() != outcome.Pending {
-			w.finishCall(number, NewResult(nil, WithReply(stored)))
+			w.calls.finish(number, NewResult(nil, WithReply(stored)))
 			return
 		}
 	}
@@ -77,22 +77,22 @@
 }
 
 // serveConfig serves calls to the configuration ledger.
-func (w *World) serveConfig(number uint64, row *callRow) {
+func (w *hostWorld) serveConfig(number uint64, row *callRow) {
 	switch row.call.kind {
 	case CallChange:
 		payload, err := w.codec.encodeChange(row.call.change)
 		w.propose(number, row, payload, err)
 	case CallHistory:
-		w.finishCall(number, NewResult(nil, WithEvents(w.configState.History(row.call.limit))))
+		w.calls.finish(number, NewResult(nil, WithEvents(w.config.History(row.call.limit))))
 	default:
-		w.finishCall(number, NewResult(outcome.ErrInvalid))
+		w.calls.finish(number, NewResult(outcome.ErrInvalid))
 	}
 }
 
 // propose appends an encoded command and ties the call to its position.
-func (w *World) propose(number uint64, row *callRow, payload []byte, err error) {
+func (w *hostWorld) propose(number uint64, row *callRow, payload []byte, err error) {
 	if err != nil {
-		w.finishCall(number, NewResult(err))
+		w.calls.finish(number, NewResult(err))
 		return
 	}
 	term, index, err := w.ledgers.Propose(row.call.ledger, payload)
@@ -101,11 +101,11 @@
 	}
 	row.busy = true
 	w.proposals.Put(proposalKey{ledger: row.call.ledger, index: index}, proposalRow{term: term, call: number})
-	w.routeDue.ArmBefore(row.call.deadline)
+	w.calls.due.ArmBefore(row.call.deadline)
 }
 
 // serveLookup reads an answer, or waits for one while the key is running.
-func (w *World) serveLookup(now time.Time, number uint64, row *callRow, state *home.State) {
+func (w *hostWorld) serveLookup(now time.Time, number uint64, row *callRow, state *home.State) {
 	reply := state.Lookup(row.call.key)
 	claimed := w.claimOf(now, row.call) != nil
 	running := reply.Answer().Code() == outcome.Pending && (reply.Code() == outcome.OK || claimed)
@@ -113,15 +113,15 @@
 		w.hold(now, number, row)
 		return
 	}
-	w.finishCall(number, NewResult(nil, WithReply(reply), WithElsewhere(claimed)))
+	w.calls.finish(number, NewResult(nil, WithReply(reply), WithElsewhere(claimed)))
 }
 
 // serveClaim grants the right to run a key, or returns its answer.
-func (w *World) serveClaim(now time.Time, number uint64, row *callRow, state *home.State) {
+func (w *hostWorld) serveClaim(now time.Time, number uint64, row *callRow, state *home.State) {
 	call := row.call
 	reply := state.Lookup(call.key)
 	if reply.Answer().Code() != outcome.Pending {
-		w.finishCall(number, NewResult(nil, WithReply(reply)))
+		w.calls.finish(number, NewResult(nil, WithReply(reply)))
 		return
 	}
 	claim := w.claimOf(now, call)
@@ -129,18 +129,18 @@
 	if !started && (claim == nil || claim.claimant == call.claimant) {
 		w.claims.Put(claimKey{call.ledger, call.key}, claimRow{
 			claimant: call.claimant, instance: claimInstance(call.claimant), until: call.deadline})
-		w.finishCall(number, NewResult(nil, WithReply(reply)))
+		w.calls.finish(number, NewResult(nil, WithReply(reply)))
 		return
 	}
 	if call.wait {
 		w.hold(now, number, row)
 		return
 	}
-	w.finishCall(number, NewResult(nil, WithReply(reply), WithElsewhere(true)))
+	w.calls.finish(number, NewResult(nil, WithReply(reply), WithElsewhere(true)))
 }
 
 // claimOf returns the live claim on a call's key, or nil.
-func (w *World) claimOf(now time.Time, call Call) *claimRow {
+func (w *hostWorld) claimOf(now time.Time, call Call) *claimRow {
 	key := claimKey{call.ledger, call.key}
 	claim := w.claims.Get(key)
 	if claim == nil {
@@ -161,7 +161,7 @@
 }
 
 // hold keeps a call until its key changes or the hold time is over.
-func (w *World) hold(now time.Time, number uint64, row *callRow) {
+func (w *hostWorld) hold(now time.Time, number uint64, row *callRow) {
 	row.busy = true
 	until := minTime(now.Add(holdTimeout), row.call.deadline.Add(-retryPause))
 	w.waiters.Put(number, waiterRow{until: until})
@@ -170,7 +170,7 @@
 
 // wakeWaiters serves held calls again when something was committed, and
 // answers them without waiting when their hold time is over.
-func (w *World) wakeWaiters(now time.Time) {
+func (w *hostWorld) wakeWaiters(now time.Time) {
 	if !w.wake {
 		return
 	}
@@ -183,13 +183,13 @@
 }
 
 // wakeWaiter serves one held call again.
-func (w *World) wakeWaiter(now time.Time, number uint64, until time.Time) {
-	row := w.calls.Get(number)
+func (w *hostWorld) wakeWaiter(now time.Time, number uint64, until time.Time) {
+	row := w.calls.rows.Get(number)
 	if row == nil {
 		return
 	}
 	if !w.ledgers.Leads(now, row.call.ledger) {
-		w.retryCall(now, number)
+		w.calls.retry(now, number)
 		return
 	}
 	if !now.Before(until) {
@@ -203,26 +203,20 @@
 }
 
 // expire drops what hosted home ledgers keep too long, and old claims.
-func (w *World) expire(now time.Time) {
+func (w *hostWorld) expire(now time.Time) {
 	w.expireDue.Arm(now.Add(expireInterval))
-	w.homeStates.Each(func(id ledger.ID, row *homeRow) {
+	w.states.Each(func(id ledger.ID, row *homeRow) {
 		if row.expiring || !w.ledgers.Leads(now, id) || !row.state.ExpireDue(now) {
 			return
 		}
 		row.expiring = true
 		command := home.NewCommand(home.CommandExpire, home.Key{}, now)
 		call := NewCall(CallApply, id, now.Add(expireInterval), WithCommand(command))
-		w.addCall(now, call, func(Result) { row.expiring = false }, false)
+		w.calls.add(now, call, func(Result) { row.expiring = false }, false)
 	})
 	w.claims.Each(func(key claimKey, claim *claimRow) {
 		if now.After(claim.until) {
 			w.claims.Remove(key)
 		}
 	})
-	w.suspects.Each(func(fingerprint uint64, row *suspectRow) {
-		if now.Sub(row.at) > home.SuspectRetention {
-			w.suspects.Remove(fingerprint)
-			w.stale = true
-		}
-	})
 }
--- a/core/control/world.go
+++ b/core/control/world.go
@@ -4,11 +4,8 @@
 	"log/slog"
 	"time"
 
-	"papayaquay/core/config"
-	"papayaquay/core/home"
 	"papayaquay/core/ledger"
 	"papayaquay/core/member"
-	"papayaquay/core/table"
 	"papayaquay/core/timer"
 )
 
@@ -35,86 +32,53 @@
 	backendPause   = 500 * time.Millisecond  // without items for a server that refused one
 )
 
-// homeRow is a hosted home ledger.
-type homeRow struct {
-	state    *home.State
-	encoding bool // a snapshot is being encoded
-	expiring bool // an expire command is under way
+// tickState is what the sub-worlds share within and between ticks.
+type tickState struct {
+	now      time.Time // of the current tick
+	again    bool      // another tick is needed at once
+	stale    bool      // the published snapshot is out of date
+	draining bool      // this instance shuts down
 }
 
-// World is the control world. It belongs to one goroutine.
+// World is the control world: it wires its sub-worlds and runs their systems.
+// It belongs to one goroutine.
 type World struct {
-	name       string
 	dataCentre string
-	owner      string // names this run of the instance in leases
 	logger     *slog.Logger
-	codec      Codec
-
-	persist    func(sequence uint64, records []ledger.Record)
+	settings   worldSettings
 	send       func(Packet)
 	publish    func(*Snapshot)
-	background func(func())
-	post       func(Input)
-	startItem  func(Item)
-	stopItem   func(number uint64, yield bool)
-
-	compactAfter uint64
-	lease        time.Duration
-	reserve      int
+	drained    func(Drain)
+	diskErr    error
 
 	members    *member.World
 	ledgers    *ledger.World
+	calls      *callWorld
+	hosts      *hostWorld
+	config     *configWorld
+	demand     *demandWorld
+	items      *itemWorld
+	strays     *strayWorld
+	suspicions *suspicionWorld
+	notes      *noteWorld
+	outbox     *outbox
 	timers     *timer.Service
-	placements []Placement
+	tick       *tickState
 	homes      []ledger.ID
 
-	configState    *config.State
-	configEncoding bool
-	homeStates     *table.Table[ledger.ID, homeRow]
-	view           *config.View
-
-	calls     *table.Table[uint64, callRow]
-	lastCall  uint64
-	proposals *table.Table[proposalKey, proposalRow]
-	leaders   *table.Table[ledger.ID, leaderRow]
-	claims    *table.Table[claimKey, claimRow]
-	waiters   *table.Table[uint64, waiterRow]
-	follow    followRow
-	pulls     *table.Table[pullKey, pullRow]
-
-	usages   *table.Table[string, *Usage]
-	demands  *table.Table[demandKey, demandRow]
-	reported *table.Table[string, reportRow]
-	items    *table.Table[uint64, itemRow]
-	polls    *table.Table[ledger.ID, pollRow]
-	flushes  *table.Table[ledger.ID, flushRow]
-	lastItem uint64
-	roles    map[string]bool // data centres whose batch slots are owned here
-	suspects *table.Table[uint64, suspectRow]
-	strays   *table.Table[strayKey, strayRow]
-	pauses   *table.Table[string, pauseRow]
-	outbox   *table.Table[string, Packet]
-	draining bool
-	loaded   bool // the configuration was received since the start
-	drained  func(Drain)
-	diskErr  error
-
-	moveDue   *timer.Subscription
-	batchDue  *timer.Subscription
-	demandDue *timer.Subscription
-	pullDue   *timer.Subscription
-	wakeDue   *timer.Subscription
-	routeDue  *timer.Subscription
-	expireDue *timer.Subscription
+	published uint64 // membership version of the published snapshot
+}
 
-	tickTime     time.Time // of the current tick
-	noted        map[string]backendNote
-	notedStates  map[string]member.State
-	notedLeaders map[ledger.ID]string
-	published    uint64 // membership version of the published snapshot
-	stale        bool   // the published snapshot is out of date
-	wake         bool   // waiting calls must be looked at
-	again        bool   // another tick is needed at once
+// worldSettings are the options that sub-worlds are built with.
+type worldSettings struct {
+	persist      func(sequence uint64, records []ledger.Record)
+	background   func(func())
+	post         func(Input)
+	startItem    func(Item)
+	stopItem     func(number uint64, yield bool)
+	compactAfter uint64
+	lease        time.Duration
+	placements   []Placement
 }
 
 // Option changes a world at construction.
@@ -126,7 +90,7 @@
 // WithPersist sets the function that makes records durable; it must not block,
 // and Synced(sequence) confirms it.
 func WithPersist(persist func(sequence uint64, records []ledger.Record)) Option {
-	return func(w *World) { w.persist = persist }
+	return func(w *World) { w.settings.persist = persist }
 }
 
 // WithSend sets the function that sends packets to other instances.
@@ -137,141 +101,115 @@
 
 // WithBackground sets the function that runs work off the control thread.
 func WithBackground(background func(func())) Option {
-	return func(w *World) { w.background = background }
+	return func(w *World) { w.settings.background = background }
 }
 
 // WithPost sets the function that posts to this world's own inbox.
-func WithPost(post func(Input)) Option { return func(w *World) { w.post = post } }
+func WithPost(post func(Input)) Option { return func(w *World) { w.settings.post = post } }
 
 // WithItems sets the functions that start and stop items on traffic threads.
 func WithItems(start func(Item), stop func(number uint64, yield bool)) Option {
-	return func(w *World) { w.startItem, w.stopItem = start, stop }
+	return func(w *World) { w.settings.startItem, w.settings.stopItem = start, stop }
 }
 
 // WithPlacements sets the ledgers of the system and where their replicas are.
 func WithPlacements(placements ...Placement) Option {
-	return func(w *World) { w.placements = placements }
+	return func(w *World) { w.settings.placements = placements }
 }
 
 // WithCompactAfter sets how many applied entries a log holds before a snapshot.
 func WithCompactAfter(entries uint64) Option {
-	return func(w *World) { w.compactAfter = entries }
+	return func(w *World) { w.settings.compactAfter = entries }
 }
 
 // WithLease sets how long leases of items last.
-func WithLease(lease time.Duration) Option { return func(w *World) { w.lease = lease } }
+func WithLease(lease time.Duration) Option { return func(w *World) { w.settings.lease = lease } }
 
 // New returns the control world of an instance. The member and ledger worlds
 // become part of it.
 func New(now time.Time, owner string, codec Codec, members *member.World, ledgers *ledger.World, options ...Option) *World {
 	w := &World{
-		name:         members.Self().Name(),
-		dataCentre:   members.Self().DataCentre(),
-		owner:        owner,
-		logger:       slog.New(slog.DiscardHandler),
-		codec:        codec,
-		persist:      func(uint64, []ledger.Record) {},
-		send:         func(Packet) {},
-		publish:      func(*Snapshot) {},
-		background:   func(work func()) { work() },
-		post:         func(Input) {},
-		startItem:    func(Item) {},
-		stopItem:     func(uint64, bool) {},
-		compactAfter: DefaultCompactAfter,
-		lease:        DefaultLease,
-		reserve:      DefaultReserve,
-		members:      members,
-		ledgers:      ledgers,
-		timers:       timer.New(),
-		homeStates:   table.New[ledger.ID, homeRow](),
-		view:         config.NewView(0, nil),
-		calls:        table.New[uint64, callRow](),
-		proposals:    table.New[proposalKey, proposalRow](),
-		leaders:      table.New[ledger.ID, leaderRow](),
-		claims:       table.New[claimKey, claimRow](),
-		waiters:      table.New[uint64, waiterRow](),
-		pulls:        table.New[pullKey, pullRow](),
-		usages:       table.New[string, *Usage](),
-		demands:      table.New[demandKey, demandRow](),
-		reported:     table.New[string, reportRow](),
-		items:        table.New[uint64, itemRow](),
-		polls:        table.New[ledger.ID, pollRow](),
-		flushes:      table.New[ledger.ID, flushRow](),
-		suspects:     table.New[uint64, suspectRow](),
-		strays:       table.New[strayKey, strayRow](),
-		pauses:       table.New[string, pauseRow](),
-		outbox:       table.New[string, Packet](),
-		stale:        true,
-		noted:        make(map[string]backendNote),
-		notedStates:  make(map[string]member.State),
-		notedLeaders: make(map[ledger.ID]string),
+		dataCentre: members.Self().DataCentre(), logger: slog.New(slog.DiscardHandler),
+		send: func(Packet) {}, publish: func(*Snapshot) {},
+		settings: worldSettings{
+			persist:    func(uint64, []ledger.Record) {},
+			background: func(work func()) { work() },
+			post:       func(Input) {}, startItem: func(Item) {}, stopItem: func(uint64, bool) {},
+			compactAfter: DefaultCompactAfter, lease: DefaultLease,
+		},
+		members: members, ledgers: ledgers, timers: timer.New(),
+		outbox: newOutbox(members.Self().Name()), tick: &tickState{stale: true},
 	}
 	for _, option := range options {
 		option(w)
 	}
-	w.hostStates()
-	w.subscribe(now)
-	return w
-}
-
-// hostStates creates the state machines of the hosted ledgers.
-func (w *World) hostStates() {
-	for _, p := range w.placements {
+	for _, p := range w.settings.placements {
 		if IsHome(p.ledger) {
 			w.homes = append(w.homes, p.ledger)
 		}
-		if !w.ledgers.Hosts(p.ledger) {
-			continue
-		}
-		if IsHome(p.ledger) || IsLocal(p.ledger) {
-			w.homeStates.Put(p.ledger, homeRow{state: home.New()})
-		} else if p.ledger == ConfigLedger {
-			w.configState = config.New()
-		}
 	}
+	w.build(owner, codec)
+	w.subscribe(now)
+	return w
+}
+
+// build creates the sub-worlds and ties them together.
+func (w *World) build(owner string, codec Codec) {
+	s, out := w.settings, w.outbox.to
+	w.calls = newCallWorld(w.members, w.ledgers, s.placements, w.tick, out)
+	w.hosts = newHostWorld(w.members, w.ledgers, w.calls, codec)
+	w.hosts.logger, w.hosts.out, w.hosts.compactAfter = w.logger, out, s.compactAfter
+	w.hosts.persist, w.hosts.background, w.hosts.post = s.persist, s.background, s.post
+	w.calls.serve = w.hosts.serve
+	w.config = newConfigWorld(w.members, w.hosts, w.tick, out)
+	w.items = newItemWorld(owner, w.members, w.calls, w.homes, w.tick, out)
+	w.items.logger, w.items.lease, w.items.startItem, w.items.stopItem = w.logger, s.lease, s.startItem, s.stopItem
+	w.hosts.submitted = w.items.submitted
+	w.demand = newDemandWorld(w.members, w.items.runnerOf, out)
+	w.items.onlineOn = w.demand.onlineOn
+	w.strays = newStrayWorld(w.hosts, w.homes, w.tick)
+	w.suspicions = newSuspicionWorld(w.members, w.tick, out)
+	w.notes = newNoteWorld(w.members, w.ledgers, w.logger)
 }
 
-// subscribe registers the parts that act on deadlines.
+// subscribe registers the parts that act on deadlines, in the order in which
+// those that are due together act.
 func (w *World) subscribe(now time.Time) {
-	w.moveDue = w.timers.Subscribe("move", w.moveStrays)
-	w.moveDue.Arm(now.Add(moveInterval))
-	w.routeDue = w.timers.Subscribe("route", func(time.Time) {})
-	w.wakeDue = w.timers.Subscribe("wake", func(time.Time) { w.wake = true })
-	w.pullDue = w.timers.Subscribe("pull", w.pull)
-	w.demandDue = w.timers.Subscribe("demand", w.report)
-	w.batchDue = w.timers.Subscribe("batch", func(time.Time) {})
-	w.expireDue = w.timers.Subscribe("expire", w.expire)
-	w.pullDue.Arm(now)
-	w.demandDue.Arm(now.Add(demandRefresh))
-	w.expireDue.Arm(now.Add(expireInterval))
+	w.strays.subscribe(now, w.timers)
+	w.calls.due = w.timers.Subscribe("route", func(time.Time) {})
+	w.hosts.subscribe(now, w.timers)
+	w.config.subscribe(now, w.timers)
+	w.demand.subscribe(now, w.timers)
+	w.items.subscribe(now, w.timers)
+	w.suspicions.subscribe(now, w.timers)
 }
 
 // Step runs one tick: inputs into the tables, the systems in order, the
 // results out.
 func (w *World) Step(now time.Time, inputs []Input) {
-	w.again, w.tickTime = false, now
+	w.tick.again, w.tick.now = false, now
 	for _, input := range inputs {
 		w.receive(now, input)
 	}
 	w.timers.Fire(now)
 	w.members.Run(now)
-	w.runBatch(now)
-	w.route(now)
+	w.items.run(now)
+	w.calls.route(now)
 	w.ledgers.Run(now)
-	w.apply(now)
-	w.compact()
-	w.followHosted(now)
-	w.servePulls(now)
-	w.wakeWaiters(now)
+	w.hosts.apply(now)
+	w.hosts.compact()
+	w.config.followHosted()
+	w.config.servePulls(now)
+	w.hosts.wakeWaiters(now)
 	w.drain(now)
-	w.noteLeaders()
-	w.refreshSnapshot(now)
+	w.notes.noteLeaders()
+	w.refreshSnapshot()
 	w.flushOutbox()
 }
 
 // Next returns the deadline of the next tick.
 func (w *World) Next() (time.Time, bool) {
-	if w.again {
+	if w.tick.again {
 		return time.Time{}, true
 	}
 	next := w.members.Next()
