A fault soak of the real programs

For it: listen_address in the settings of an instance (bind apart from the address told to others), a clock and disk that misbehave in a test build only (build tag soak), and io/standin builds either program.

--- a/cmd_run.go
+++ b/cmd_run.go
@@ -48,7 +48,7 @@
 	logger := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: s.LogLevel()}))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	p, err := fleet.New(s, platform.New(), fleet.WithLogger(logger))
+	p, err := fleet.New(s, platform.New(), append(faultOptions(path), fleet.WithLogger(logger))...)
 	if err != nil {
 		return err
 	}
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -56,6 +56,8 @@
 	front    FrontEnd
 	logger   *slog.Logger
 	start    time.Time
+	wall     func() time.Time // time of day
+	disk     []disk.Option
 
 	store     *disk.Store
 	client    *peer.Client
@@ -79,19 +81,26 @@
 // WithLogger sets the logger.
 func WithLogger(logger *slog.Logger) Option { return func(p *Process) { p.logger = logger } }
 
+// WithWall sets the clock that tells the time of day.
+func WithWall(wall func() time.Time) Option { return func(p *Process) { p.wall = wall } }
+
+// WithDisk sets options of the data folder.
+func WithDisk(options ...disk.Option) Option { return func(p *Process) { p.disk = options } }
+
 // New prepares an instance: it opens the data folder and builds the worlds.
 func New(s *settings.Fleet, front FrontEnd, options ...Option) (*Process, error) {
 	p := &Process{
-		settings: s, front: front, logger: slog.New(slog.DiscardHandler), start: time.Now(),
+		settings: s, front: front, logger: slog.New(slog.DiscardHandler), wall: time.Now,
 		inbox: tick.NewInbox[cluster.Input](), served: make(chan error, 1),
 		items: itemRuns{cancels: make(map[uint64]context.CancelFunc)},
 	}
 	for _, option := range options {
 		option(p)
 	}
+	p.start = p.wall()
 	p.snapshot.Store(cluster.NewSnapshot(nil, nil, nil))
-	p.client = peer.NewClient(s.PeerAddress(), peerKeys)
-	p.forward = forward.New(front.dialect)
+	p.client = peer.NewClient(s.PeerAddress(), peerKeys, peer.WithSource(s.Source()))
+	p.forward = forward.New(front.dialect, forward.WithSource(s.Source()))
 	if err := p.openStore(); err != nil {
 		return nil, err
 	}
@@ -113,8 +122,9 @@
 		return nil
 	}
 	open := func() (*disk.Store, error) {
-		return disk.Open(folder, disk.WithLogger(p.logger), disk.WithCallbacks(
-			func(sequence uint64) { p.inbox.Post(cluster.Synced(sequence)) }, func(error) {}))
+		options := append([]disk.Option{disk.WithLogger(p.logger), disk.WithCallbacks(
+			func(sequence uint64) { p.inbox.Post(cluster.Synced(sequence)) }, func(error) {})}, p.disk...)
+		return disk.Open(folder, options...)
 	}
 	store, err := open()
 	if errors.Is(err, disk.ErrCorrupt) {
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -60,8 +60,9 @@
 	return nil
 }
 
-// open listens on an address.
+// open listens for an address that others use.
 func (p *Process) open(ctx context.Context, address string) (net.Listener, error) {
+	address = p.settings.Bind(address)
 	l, err := socket.ListenConfig(silenceTimeout).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -46,7 +46,7 @@
 	now := boottime.Now()
 	self := directory.NewNode(s.PeerAddress(), s.Name(), s.DataCentre(), kindOf(s.Role()), uint64(p.start.UnixMicro()))
 	options := []cluster.Option{
-		cluster.WithLogger(p.logger), cluster.WithSeeds(s.Seeds()), cluster.WithWall(time.Now),
+		cluster.WithLogger(p.logger), cluster.WithSeeds(s.Seeds()), cluster.WithWall(p.wall),
 		cluster.WithPersist(func(sequence uint64, records []ledger.Record) { p.store.Append(sequence, records) }),
 		cluster.WithSend(p.send), cluster.WithPublish(p.publish),
 		cluster.WithBackground(func(work func()) { go work() }, p.inbox.Post),
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -104,10 +104,15 @@
 	return func(c *Client) { c.transport.DialContext = dial }
 }
 
+// WithSource sets the IP number that connections are made from.
+func WithSource(source string) Option {
+	return WithDial(socket.Dialer(dialTimeout, silenceTimeout, source).DialContext)
+}
+
 // New returns a client that speaks a dialect.
 func New(dialect Dialect, options ...Option) *Client {
 	c := &Client{dialect: dialect, now: time.Now, transport: &http.Transport{
-		DialContext:            socket.Dialer(dialTimeout, silenceTimeout).DialContext,
+		DialContext:            socket.Dialer(dialTimeout, silenceTimeout, "").DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -43,10 +43,15 @@
 	return func(c *Client) { c.dial = dial }
 }
 
+// WithSource sets the IP number that connections are made from.
+func WithSource(source string) ClientOption {
+	return WithDial(socket.Dialer(dialTimeout, silenceTimeout, source).DialContext)
+}
+
 // NewClient returns a client of the named instance. The first of the keys
 // signs.
 func NewClient(name string, keys func() []string, options ...ClientOption) *Client {
-	c := &Client{name: name, keys: keys, dial: socket.Dialer(dialTimeout, silenceTimeout).DialContext, links: make(map[string]*link)}
+	c := &Client{name: name, keys: keys, dial: socket.Dialer(dialTimeout, silenceTimeout, "").DialContext, links: make(map[string]*link)}
 	for _, option := range options {
 		option(c)
 	}
--- a/io/settings/fleet.go
+++ b/io/settings/fleet.go
@@ -33,6 +33,7 @@
 	Role           string   `toml:"role"`
 	DataCentre     string   `toml:"data_centre"`
 	Address        string   `toml:"address"`
+	ListenAddress  string   `toml:"listen_address,omitempty"`
 	PeerPort       int      `toml:"peer_port"`
 	CallerAddress  string   `toml:"caller_address,omitempty"`
 	ReadyAddress   string   `toml:"ready_address,omitempty"`
@@ -88,6 +89,7 @@
 		{!slices.Contains([]string{RoleEntry, RoleControl, RoleStore}, f.Role), "role: must be entry, control or store"},
 		{f.DataCentre == "", "data_centre: missing"},
 		{net.ParseIP(f.Address) == nil, fmt.Sprintf("address: %q is no IP number", f.Address)},
+		{f.ListenAddress != "" && net.ParseIP(f.ListenAddress) == nil, fmt.Sprintf("listen_address: %q is no IP number", f.ListenAddress)},
 		{f.PeerPort < 1 || f.PeerPort > 65535, "peer_port: must be 1 to 65535"},
 		{f.MetricsPort < 1 || f.MetricsPort > 65535, "metrics_port: must be 1 to 65535"},
 		{len(f.Seeds) == 0, "seeds: at least one address is needed"},
@@ -142,6 +144,19 @@
 // MetricsAddress returns the address that metrics are read from.
 func (f *Fleet) MetricsAddress() string { return f.onPort(f.content.Address, f.content.MetricsPort) }
 
+// Bind returns the address to listen on for one that others use: the same,
+// unless the instance has a listen address of its own, as behind a forwarder.
+func (f *Fleet) Bind(address string) string {
+	_, port, err := net.SplitHostPort(address)
+	if f.content.ListenAddress == "" || err != nil {
+		return address
+	}
+	return net.JoinHostPort(f.content.ListenAddress, port)
+}
+
+// Source returns the IP number to make connections from, empty for any.
+func (f *Fleet) Source() string { return f.content.ListenAddress }
+
 // DataFolder returns the folder for durable state, empty at entries.
 func (f *Fleet) DataFolder() string { return f.content.DataFolder }
 
--- a/io/settings/fleet_test.go
+++ b/io/settings/fleet_test.go
@@ -33,6 +33,11 @@
 	c.Assert(s.Voters(), qt.Equals, 3)
 	c.Assert(s.Seeds(), qt.DeepEquals, []string{"10.0.0.1:7000", "10.0.0.2:7000"})
 	c.Assert(s.PeerAddress(), qt.Equals, "10.0.0.1:7000")
+	c.Assert(s.Bind(s.ControlAddress()), qt.Equals, "10.0.0.1:8166")
+	s, err = ParseFleet("f", fleetSample+"listen_address = \"10.9.0.1\"\n")
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Bind(s.ControlAddress()), qt.Equals, "10.9.0.1:8166")
+	c.Assert(s.PeerAddress(), qt.Equals, "10.0.0.1:7000")
 	s, err = ParseFleet("f", strings.Replace(fleetSample, "first_start = true", "first_start = false", 1))
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.Founds(), qt.IsFalse)
@@ -47,6 +52,7 @@
 		{"no name", `name = "c1"`, ``, "f: name: missing"},
 		{"unknown role", `"control"`, `"other"`, "f: role: must be entry, control or store"},
 		{"no IP number", `"10.0.0.1"`, `"host"`, `f: address: "host" is no IP number`},
+		{"no IP number to listen on", `peer_port = 7000`, "peer_port = 7000\nlisten_address = \"host\"", `f: listen_address: "host" is no IP number`},
 		{"port too large", `7000`, `70000`, "f: peer_port: must be 1 to 65535"},
 		{"no seeds", `["10.0.0.1:8166", "10.0.0.2:8166"]`, `[]`, "f: seeds: at least one address is needed"},
 		{"seed without port", `"10.0.0.2:8166"`, `"10.0.0.2"`, `f: seeds[1]: "10.0.0.2" is no address with a port`},
--- a/io/socket/socket.go
+++ b/io/socket/socket.go
@@ -21,9 +21,14 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
 // Dialer returns a dialer whose connections end when sent bytes stay
-// unconfirmed for the silence timeout.
-func Dialer(timeout, silence time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: userTimeout(silence)}
+// unconfirmed for the silence timeout. Connections are made from the IP number
+// source, if one is given.
+func Dialer(timeout, silence time.Duration, source string) *net.Dialer {
+	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: userTimeout(silence)}
+	if ip := net.ParseIP(source); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d
 }
 
 // ListenConfig returns the configuration of listeners whose connections end
--- a/io/standin/program.go
+++ b/io/standin/program.go
@@ -11,22 +11,34 @@
 
 // Program builds papayaquay into a temporary folder, once a process, and
 // returns its path.
-var Program = sync.OnceValues(func() (string, error) {
+var Program = sync.OnceValues(func() (string, error) { return build("") })
+
+// FaultyProgram builds papayaquay with a clock and a disk that can be made to
+// misbehave, once a process, and returns its path.
+var FaultyProgram = sync.OnceValues(func() (string, error) { return build("soak") })
+
+// build builds papayaquay with a tag into a folder that RemoveProgram removes.
+func build(tag string) (string, error) {
 	folder, err := os.MkdirTemp("", "papayaquay-test-")
 	if err != nil {
 		return "", errors.Wrap(err, "create folder")
 	}
+	folders.Store(folder, true)
 	path := filepath.Join(folder, "papayaquay")
-	out, err := exec.Command("go", "build", "-o", path, "papayaquay").CombinedOutput()
+	out, err := exec.Command("go", "build", "-tags", tag, "-o", path, "papayaquay").CombinedOutput()
 	if err != nil {
 		return "", errors.Wrapf(err, "build: %s", out)
 	}
 	return path, nil
-})
+}
 
-// RemoveProgram removes what Program built.
+// folders are those that were created.
+var folders sync.Map
+
+// RemoveProgram removes what was built.
 func RemoveProgram() {
-	if path, err := Program(); err == nil {
-		os.RemoveAll(filepath.Dir(path))
-	}
+	folders.Range(func(folder, _ any) bool {
+		os.RemoveAll(folder.(string))
+		return true
+	})
 }
