Reservations also where batch items run

Cause: of the late requests left in the log of 12 entries 35 of 42 went to servers that looked to have their last slot free beside a batch item, without a reservation; of 166 with one 2 were late. Change: free slots are counted with batch items; five refusals instead of three.

--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -133,6 +133,7 @@
 		{"idle", 100, cluster.Loads{"b0": usage.NewLoad(1, 0)}, false},
 		{"nearly full", 100, cluster.Loads{"b0": usage.NewLoad(7, 0), "b1": usage.NewLoad(7, 0)}, true},
 		{"nearly full, no reservations", 0, cluster.Loads{"b0": usage.NewLoad(7, 0), "b1": usage.NewLoad(7, 0)}, false},
+		{"nearly full with batch", 100, cluster.Loads{"b0": usage.NewLoad(4, 3), "b1": usage.NewLoad(4, 3)}, true},
 		{"full of batch", 100, cluster.Loads{"b0": usage.NewLoad(7, 1), "b1": usage.NewLoad(7, 1)}, false},
 		{"full", 100, cluster.Loads{"b0": usage.NewLoad(8, 0), "b1": usage.NewLoad(8, 0)}, false},
 	} {
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -162,14 +162,15 @@
 // for one there while another server has one.
 const (
 	reserveFrom = 2 // slots that look free, or fewer
-	maxRefusals = 3 // after which the request is sent without
+	maxRefusals = 5 // after which the request is sent without
 )
 
-// reserves reports whether a slot is to be reserved on the chosen server. Batch
-// items give way to a request that is there, not to a reservation.
+// reserves reports whether a slot is to be reserved on the chosen server. Where
+// none looks free, batch items give way to a request that is there, not to a
+// reservation.
 func (w *World) reserves(row *requestRow, c choice) bool {
-	free := c.backend.Slots() - c.online
-	return row.request.tokens > 0 && row.refusals < maxRefusals && c.batch == 0 && free > 0 && free <= reserveFrom
+	free := c.backend.Slots() - c.online - c.batch
+	return row.request.tokens > 0 && row.refusals < maxRefusals && free > 0 && free <= reserveFrom
 }
 
 // least picks one of the servers with the fewest online requests, at random:
