Items try a server that does not work one at a time, with growing pauses

Ruled out: servers that were full (their answers carry the load, none came). Change: an attempt without a connection ends 'unreachable' and counts as a round in which the server did not work; such a server gets one item until bytes come. Before: seven attempts a server and round; after: one (core/runner TestDoubt).

--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -54,11 +54,12 @@
 	EndBroken                    // the answer broke off
 	EndStopped                   // stopped from this side
 	EndPart                      // the attempt goes on, a part of its output is there
+	EndUnreachable               // no connection to the server, nothing was sent
 )
 
 // String returns the end's name for logs.
 func (e End) String() string {
-	names := [...]string{"unknown", "done", "not run", "failed", "impossible", "broken", "stopped", "part"}
+	names := [...]string{"unknown", "done", "not run", "failed", "impossible", "broken", "stopped", "part", "unreachable"}
 	if int(e) >= len(names) {
 		return names[0]
 	}
@@ -126,5 +127,5 @@
 // pauseRow keeps items away from a server.
 type pauseRow struct {
 	until time.Time
-	count int
+	count int // rounds in a row in which the server did not work
 }
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -203,6 +203,7 @@
 		{"failed as often as allowed", EndFailed, 3, batch.VerdictDead},
 		{"broken", EndBroken, 0, 0},
 		{"not run", EndNotRun, 0, 0},
+		{"unreachable", EndUnreachable, 0, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := newTestRun(t, 1, 1)
@@ -319,3 +320,32 @@
 	r.tick(time.Minute / 2)
 	r.c.Assert(r.stopped, qt.HasLen, 0)
 }
+
+// TestDoubt checks that a server that cannot be reached is tried with one item
+// at a time, with growing pauses, until bytes come of one.
+func TestDoubt(t *testing.T) {
+	r := newTestRun(t, 12, 1)
+	r.tick(0)
+	r.c.Assert(r.started, qt.HasLen, 4)
+	for _, a := range r.started {
+		r.end(a, EndUnreachable, "", 0)
+	}
+	tried := 0
+	for begin := r.now; r.now.Sub(begin) < 4*time.Second; {
+		before := len(r.started)
+		r.tick(50 * time.Millisecond)
+		r.c.Assert(len(r.started)-before <= 1, qt.IsTrue)
+		for _, a := range r.started[before:] {
+			tried++
+			r.end(a, EndUnreachable, "", 0)
+		}
+	}
+	r.c.Assert(tried, qt.Equals, 3)
+	for len(r.started) < 8 {
+		r.tick(50 * time.Millisecond)
+	}
+	r.started[7].Progress().Note()
+	r.tick(watchEvery)
+	r.tick(0)
+	r.c.Assert(r.started, qt.HasLen, 11)
+}
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -140,13 +140,24 @@
 			continue
 		}
 		reserve, pause := w.caution(now, id)
-		if n := s.Backend().Slots() - reserve - w.online(id) - w.counts[id]; n > 0 && !pause {
+		n := s.Backend().Slots() - reserve - w.online(id) - w.counts[id]
+		if w.doubtful(id) {
+			n = min(n, 1-w.counts[id])
+		}
+		if n > 0 && !pause {
 			free[id] = n
 		}
 	}
 	return free
 }
 
+// doubtful reports whether a server did not work at last. It gets one item at a
+// time until bytes come of one.
+func (w *World) doubtful(backend string) bool {
+	p := w.pauses.Get(backend)
+	return p != nil && p.count > 0
+}
+
 // caution returns the slots to leave free on a server and whether it gets no
 // items at all: right after items gave way there, the next would have to too.
 func (w *World) caution(now time.Time, backend string) (reserve int, pause bool) {
--- a/core/runner/system_take.go
+++ b/core/runner/system_take.go
@@ -44,9 +44,12 @@
 	switch end {
 	case EndNotRun:
 		w.pauses.Put(backend, pauseRow{until: now.Add(notRunPause)})
-	case EndBroken:
+	case EndBroken, EndUnreachable:
 		count := 0
 		if p := w.pauses.Get(backend); p != nil {
+			if p.count > 0 && now.Before(p.until) {
+				return // another item of the same round told already
+			}
 			count = p.count
 		}
 		pause := min(brokenPause<<min(count, 10), maxPause)
--- a/core/runner/system_watch.go
+++ b/core/runner/system_watch.go
@@ -14,7 +14,8 @@
 	silentNext  = 1500 * time.Millisecond // between bytes
 )
 
-// watch stops the attempts of which nothing comes; their items go on elsewhere.
+// watch stops the attempts of which nothing comes; their items go on elsewhere. A
+// server of which bytes come works.
 func (w *World) watch(now time.Time) {
 	if now.Before(w.watchAt) {
 		return
@@ -24,8 +25,11 @@
 	w.running.Each(func(number uint64, row *runningRow) {
 		quiet := row.watch.Look(min(elapsed, now.Sub(row.started)))
 		bound := silentNext
-		if !row.watch.Moved() {
+		switch {
+		case !row.watch.Moved():
 			bound = silentFirst
+		case quiet == 0 && w.doubtful(row.backend):
+			w.pauses.Remove(row.backend)
 		}
 		if quiet < bound || row.stopping {
 			return
--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -30,7 +30,7 @@
 	case a == nil && sent:
 		return runner.EndBroken, nil, last
 	case a == nil:
-		return runner.EndNotRun, nil, last
+		return runner.EndUnreachable, nil, last
 	}
 	defer a.response.Body.Close()
 	counter.Note()
