--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -47,14 +47,14 @@
 
 // Ends of attempts.
 const (
-	EndDone       End = iota + 1 // the whole output is there
-	EndNotRun                    // the server did not run it
-	EndFailed                    // the server ran it and failed
-	EndImpossible                // the server says that it can never be done
-	EndBroken                    // the answer broke off
-	EndStopped                   // stopped from this side
-	EndPart                      // the attempt goes on, a part of its output is there
-	EndUnreachable               // no connection to the server, nothing was sent
+	EndDone        End = iota + 1 // the whole output is there
+	EndNotRun                     // the server did not run it
+	EndFailed                     // the server ran it and failed
+	EndImpossible                 // the server says that it can never be done
+	EndBroken                     // the answer broke off
+	EndStopped                    // stopped from this side
+	EndPart                       // the attempt goes on, a part of its output is there
+	EndUnreachable                // no connection to the server, nothing was sent
 )
 
 // String returns the end's name for logs.
