--- a/core/cluster/system_share.go
+++ b/core/cluster/system_share.go
@@ -16,7 +16,7 @@
 const (
 	reportPause   = 8 * time.Millisecond   // between reports that differ, at least
 	reportEach    = 600 * time.Microsecond // the same for each entry that reports
-	refreshBusy   = 8                      // pauses after which a busy entry asks without a change
+	refreshBusy   = 3                      // pauses after which a busy entry asks without a change
 	reportRefresh = 250 * time.Millisecond // the same of an entry without requests
 	reportTimeout = 400 * time.Millisecond
 	loadsExpiry   = 2 * time.Second // age at which the sums no longer count
