An entry takes callers once it knows a backend server

An entry was ready as soon as it had a configuration; in that test the workers' first announcements had failed (the control instances were not listening yet) and came again half a second later, after the configuration. The same happens on the platform to an entry that starts together with the control instances: it takes callers, and refuses all, until the first heartbeats. Ruled out: load (the answer is decided at once, without a server); a change of the test alone, which would hide what callers of a starting entry see.

--- /dev/null
+++ b/core/cluster/ready_test.go
@@ -0,0 +1,46 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"papayaquay/core/call"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestReady checks that an entry takes callers once it can serve them: with a
+// configuration and a backend server, or after the time in which servers would
+// have announced themselves. Once ready, it stays so without servers.
+func TestReady(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		configure bool
+		announce  bool
+		after     time.Duration
+		ready     bool
+	}{
+		{"nothing known", false, false, 10 * time.Second, false},
+		{"servers without a configuration", false, true, 10 * time.Second, false},
+		{"configuration without servers", true, false, time.Second, false},
+		{"configuration and a server", true, true, time.Second, true},
+		{"configuration, and no server for long", true, false, 5 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 3)
+			s.run(4 * time.Second)
+			if test.configure {
+				s.c.Assert(s.configure("c0", 3), qt.Equals, call.StatusDone)
+			}
+			if test.announce {
+				s.announce("c0", "b", 1)
+			}
+			s.run(test.after)
+			s.c.Assert(s.node("e0").snapshot.Ready(), qt.Equals, test.ready)
+			if test.ready {
+				s.run(70 * time.Second) // servers that fall silent are forgotten
+				s.c.Assert(s.node("e0").snapshot.Ready(), qt.IsTrue)
+			}
+		})
+	}
+}
--- a/core/cluster/snapshot.go
+++ b/core/cluster/snapshot.go
@@ -13,6 +13,7 @@
 	servers []directory.Server
 	loads   Loads
 	stores  []directory.Node
+	ready   bool
 }
 
 // NewSnapshot returns a snapshot; config is nil until one was received.
@@ -34,3 +35,6 @@
 
 // Stores returns the known store instances.
 func (s *Snapshot) Stores() []directory.Node { return s.stores }
+
+// Ready reports whether the instance can serve callers.
+func (s *Snapshot) Ready() bool { return s.ready }
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -100,7 +100,7 @@
 
 // readiness answers the balancer: 200 while the entry takes new connections.
 func (p *Process) readiness(w http.ResponseWriter, _ *http.Request) {
-	if p.leaving.Load() || p.snapshot.Load().Config() == nil {
+	if p.leaving.Load() || !p.snapshot.Load().Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
