--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -5,7 +5,6 @@
 
 	"papayaquay/core/batch"
 	"papayaquay/core/call"
-	"papayaquay/core/directory"
 	"papayaquay/core/event"
 	"papayaquay/core/ledger"
 	"papayaquay/core/runner"
@@ -36,10 +35,6 @@
 	encoding bool
 	led      bool   // ran items in the last tick
 	term     uint64 // term in which this instance may run items
-
-	servers   []directory.Server
-	serversOf uint64    // urgent version of the directory that they show
-	serversAt time.Time // when they were listed
 }
 
 // newJobsHost returns the sub-world in its initial state.
@@ -77,7 +72,7 @@
 		return
 	}
 	w.share.active = false
-	h.runner.View(w.config, w.servers(now), leads)
+	h.runner.View(w.config, w.servers.list(now, w.directory), leads)
 	h.runner.Run(now)
 	if finishes := h.runner.Output(); len(finishes) > 0 {
 		w.proposeBatch(batch.Complete(finishes))
@@ -90,19 +85,6 @@
 	}
 }
 
-// serversEvery bounds the age of the list of servers that items run on.
-const serversEvery = 50 * time.Millisecond
-
-// servers returns the servers that items may run on; the list is kept for a
-// moment unless a server came or leaves.
-func (w *World) servers(now time.Time) []directory.Server {
-	h := w.jobs
-	if h.serversOf != w.directory.Urgent() || now.Sub(h.serversAt) >= serversEvery {
-		h.servers, h.serversOf, h.serversAt = w.directory.Servers(now), w.directory.Urgent(), now
-	}
-	return h.servers
-}
-
 // runsItems reports whether this instance runs the items: from the first lease
 // of a term on, as long as it is the leader of that term. A lapse of the lease
 // alone must not start them anew, since output proposed before is still to be
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -48,6 +48,7 @@
 	jobs      *jobsHost
 	share     *share
 	readiness *readiness
+	servers   *serverList
 	outbox    *outbox
 
 	seeds    []string
@@ -113,7 +114,7 @@
 		persist: func(uint64, []ledger.Record) {}, send: func(Packet) {}, publish: func(*Snapshot) {},
 		background: func(work func()) { work() }, post: func(Input) {},
 		directory: directory.New(self.Incarnation()), ledgers: ledger.New(self.Address()),
-		polls: newPolls(), proposals: newProposals(), share: newShare(), readiness: &readiness{}, outbox: newOutbox(self.Address()),
+		polls: newPolls(), proposals: newProposals(), share: newShare(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()),
 		stale: true, now: now, wall: func() time.Time { return now },
 	}
 	for _, option := range options {
@@ -255,7 +256,7 @@
 	}
 	w.publishedUrgent = w.directory.Urgent()
 	w.stale, w.publishedAt, w.publishedOf = false, now, w.directory.Version()
-	s := NewSnapshot(w.config, w.directory.Servers(now), w.share.loads)
+	s := NewSnapshot(w.config, w.servers.list(now, w.directory), w.share.loads)
 	w.readiness.look(now, w.config != nil, len(s.servers))
 	s.ready = w.readiness.ready
 	s.stores = w.directory.Nodes(directory.KindStore)
