An entry follows another control instance when its own are cut off

Cause: an instance follows two control instances. Where both are cut off from the others, they answer its polls, with an old configuration and without departures of servers, and the instance is content: it would obey an old configuration as long as the cut lasts. With three control instances one of two is always on the right side; with the five and six of the grown sites, where two may be lost at once, not so. Ruled out: following three (the same with three cut off, and more polls for all); that the cut-off instance refuses polls (an entry in a data centre that is cut off whole lives on what that one knows of servers). Change: a control instance says how long ago it was in touch with the ledger's leader, by its replica or by those it follows. One that is out of touch for 1.2 s takes no place among the two; it is kept for what it hears of servers, and dropped once two others are in touch. Before: TestCutUpstreams failed for entries and a store: no configuration 2 s after its acknowledgement. After: it passes, and they follow two again after the cut.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,24 +109,30 @@
 
 // testSystem is a simulated deployment.
 type testSystem struct {
-	c     *qt.C
-	now   time.Time
-	codec Codec
-	seeds []string
-	nodes []*testNode
-	cut   func(from, to string) bool
-	sent  func(Packet) // sees every packet
+	c      *qt.C
+	now    time.Time
+	codec  Codec
+	seeds  []string
+	nodes  []*testNode
+	voters int // of each ledger
+	cut    func(from, to string) bool
+	sent   func(Packet) // sees every packet
 }
 
 // newTestSystem returns a deployment of three control, stores store and two
 // entry instances at its first start.
-func newTestSystem(t testing.TB, stores int) *testSystem {
-	s := &testSystem{c: qt.New(t), now: time.Unix(1000, 0), codec: newVaultCodec(), cut: func(string, string) bool { return false }, sent: func(Packet) {}}
+func newTestSystem(t testing.TB, stores int) *testSystem { return newSizedSystem(t, 3, stores) }
+
+// newSizedSystem returns a deployment with so many control instances, all of
+// which vote, and two entries.
+func newSizedSystem(t testing.TB, controls, stores int) *testSystem {
+	s := &testSystem{c: qt.New(t), now: time.Unix(1000, 0), codec: newVaultCodec(), voters: controls,
+		cut: func(string, string) bool { return false }, sent: func(Packet) {}}
 	for i := range 3 {
 		s.seeds = append(s.seeds, fmt.Sprintf("c%d", i))
 	}
-	for i := range 3 {
-		s.add(fmt.Sprintf("c%d", i), directory.KindControl, fmt.Sprintf("z%d", i))
+	for i := range controls {
+		s.add(fmt.Sprintf("c%d", i), directory.KindControl, fmt.Sprintf("z%d", i%3))
 	}
 	for i := range stores {
 		s.add(fmt.Sprintf("s%d", i), directory.KindStore, fmt.Sprintf("z%d", i%3))
@@ -186,12 +193,12 @@
 // host creates the ledger world of an instance.
 func (s *testSystem) host(n *testNode, first bool) *ledger.World {
 	world := ledger.New(n.address, ledger.WithSeed(uint64(len(n.address)*7+int(n.address[1]))+n.starts*13),
-		ledger.WithVoters(3, func(i string) string { return n.world.Place(i) }, func(i string) bool { return n.world.Retiring(i) }))
+		ledger.WithVoters(s.voters, func(i string) string { return n.world.Place(i) }, func(i string) bool { return n.world.Retiring(i) }))
 	id, founders := JobsLedger, []string(nil)
 	options := []ledger.HostOption{ledger.WithStored(n.disk.term, n.disk.vote, n.disk.snapshot, append([]ledger.Entry(nil), n.disk.entries...))}
 	if n.kind == directory.KindControl {
 		id = ControlLedger
-		if first {
+		if first && slices.Contains(s.seeds, n.address) {
 			founders = s.seeds
 		}
 	}
--- a/core/cluster/codec.go
+++ b/core/cluster/codec.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"time"
+
 	"papayaquay/core/batch"
 	"papayaquay/core/directory"
 	"papayaquay/core/ledger"
@@ -60,12 +62,15 @@
 	update   directory.Update
 	document registry.Document
 	founders []ledger.Member
+	age      time.Duration
 }
 
 // NewNews returns changes of the directory, a newer configuration if there is
-// one, and the founders of the jobs ledger if they are needed.
-func NewNews(update directory.Update, document registry.Document, founders []ledger.Member) News {
-	return News{update: update, document: document, founders: founders}
+// one, the founders of the jobs ledger if they are needed, and how old all that
+// may be: the time since the sender was in touch with the control ledger's
+// leader.
+func NewNews(update directory.Update, document registry.Document, founders []ledger.Member, age time.Duration) News {
+	return News{update: update, document: document, founders: founders, age: age}
 }
 
 // Update returns the changes of the directory.
@@ -77,6 +82,10 @@
 // Founders returns the founders of the jobs ledger, if needed and known.
 func (n News) Founders() []ledger.Member { return n.founders }
 
+// Age returns how long ago the sender was in touch with the control ledger's
+// leader.
+func (n News) Age() time.Duration { return n.age }
+
 // Query asks for a part of a job.
 type Query struct {
 	job   string
--- a/core/cluster/follow_test.go
+++ b/core/cluster/follow_test.go
@@ -1,10 +1,12 @@
 package cluster
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"papayaquay/core/call"
+	"papayaquay/core/directory"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -39,3 +41,43 @@
 		})
 	}
 }
+
+// TestCutUpstreams checks that an entry whose control instances are all cut off
+// from the others takes a change from others in time, and follows no more than
+// before once the cut is over.
+func TestCutUpstreams(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		at   string
+	}{
+		{"entry", "e0"},
+		{"other entry", "e1"},
+		{"store", "s0"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSizedSystem(t, 5, 3)
+			s.run(10 * time.Second)
+			began := s.now
+			isolated := s.node(test.at).world.upstreams.rows.Keys()
+			s.c.Assert(isolated, qt.HasLen, followWidth)
+			inside := func(address string) bool { return slices.Contains(isolated, address) }
+			control := func(address string) bool { return s.node(address).kind == directory.KindControl }
+			s.cut = func(from, to string) bool { return control(from) && control(to) && inside(from) != inside(to) }
+			var others []string
+			for _, n := range s.nodes {
+				if n.kind == directory.KindControl && !inside(n.address) {
+					others = append(others, n.address)
+				}
+			}
+			for s.configure(others[0], 7) != call.StatusDone {
+				s.c.Assert(s.now.Before(began.Add(10*time.Second)), qt.IsTrue) // a new leader may be needed
+			}
+			s.run(applyBound)
+			s.c.Assert(s.node(test.at).snapshot.Config(), qt.IsNotNil)
+			s.c.Assert(s.node(test.at).snapshot.Config().Number(), qt.Equals, uint64(7))
+			s.cut = func(string, string) bool { return false }
+			s.run(5 * time.Second)
+			s.c.Assert(s.node(test.at).world.upstreams.rows.Len(), qt.Equals, followWidth)
+		})
+	}
+}
--- a/core/cluster/system_follow.go
+++ b/core/cluster/system_follow.go
@@ -69,6 +69,7 @@
 	w.directory.Take(w.now, news.update)
 	if row := w.upstreams.rows.Get(address); row != nil {
 		row.epoch, row.version = news.update.Epoch(), news.update.Version()
+		row.inTouch = w.now.Add(-news.age)
 	}
 	w.setDocument(news.document, "news of "+address)
 	w.form(news.founders)
@@ -102,7 +103,7 @@
 
 // news answers a follower's poll.
 func (w *World) news(asker askerKey, f Following) {
-	n := News{update: w.directory.Since(f.epoch, f.version)}
+	n := News{update: w.directory.Since(f.epoch, f.version), age: w.now.Sub(w.inTouch())}
 	if f.number < w.document.Number() {
 		n.document = w.document
 	}
@@ -117,6 +118,19 @@
 	w.answer(asker, call.StatusDone, payload)
 }
 
+// inTouch returns when this control instance was last in touch with the leader of
+// the control ledger: by its replica, or by those that it follows. It follows
+// others without end in a circle, but each step makes the time older.
+func (w *World) inTouch() time.Time {
+	at := w.ledgers.InTouch(ControlLedger)
+	w.upstreams.rows.Each(func(_ string, row *upstreamRow) {
+		if row.inTouch.After(at) {
+			at = row.inTouch
+		}
+	})
+	return at
+}
+
 // hasNews reports whether a poll must be answered at once.
 func (w *World) hasNews(row *pollRow) bool {
 	if row.urgent < w.directory.Urgent() || row.following.number < w.document.Number() {
--- a/core/cluster/upstream.go
+++ b/core/cluster/upstream.go
@@ -14,9 +14,10 @@
 const (
 	followWidth   = 2 // control instances that an instance follows
 	followHold    = 500 * time.Millisecond
-	followTimeout = 400 * time.Millisecond // beyond the hold
-	firstTimeout  = 300 * time.Millisecond // of the first poll, which is answered at once
-	upstreamPause = 300 * time.Millisecond // before an instance that did not answer is asked again
+	followTimeout = 400 * time.Millisecond  // beyond the hold
+	firstTimeout  = 300 * time.Millisecond  // of the first poll, which is answered at once
+	upstreamPause = 300 * time.Millisecond  // before an instance that did not answer is asked again
+	upstreamAge   = 1200 * time.Millisecond // out of touch with the leader for longer, another one is followed besides
 )
 
 // upstreamRow is a control instance that is followed.
@@ -24,7 +25,14 @@
 	epoch   uint64
 	version uint64
 	asked   bool
-	known   bool // answered at least once since it was chosen
+	known   bool      // answered at least once since it was chosen
+	inTouch time.Time // when it was surely in touch with the ledger's leader
+}
+
+// current reports whether an upstream counts for the width: one that is cut off
+// from the leader hears of no change. One that did not answer yet may be sound.
+func (r *upstreamRow) current(now time.Time) bool {
+	return !r.known || now.Sub(r.inTouch) <= upstreamAge
 }
 
 // upstreams is the sub-world that follows control instances.
@@ -55,28 +63,59 @@
 	})
 }
 
-// choose fills the free places. Candidates are taken in an order that differs
-// between instances, so that they spread.
+// choose fills the free places. An upstream that is out of touch with the leader
+// is kept for what it hears of servers, but takes no place.
 func (u *upstreams) choose(now time.Time, candidates []string) {
+	current := 0
 	u.rows.Each(func(address string, row *upstreamRow) {
-		if !slices.Contains(candidates, address) && !row.known {
+		switch {
+		case !slices.Contains(candidates, address) && !row.known:
 			u.rows.Remove(address)
+		case row.current(now):
+			current++
 		}
 	})
-	offset := 0
-	for _, c := range u.self {
-		offset = offset*31 + int(c)
+	if u.width > 0 && current >= u.width {
+		u.shed(now)
+		return
 	}
-	for i := range candidates {
-		if u.width > 0 && u.rows.Len() >= u.width {
+	for _, address := range u.order(candidates) {
+		if u.width > 0 && current >= u.width {
 			return
 		}
-		address := candidates[(i+(offset&0xffff))%len(candidates)]
 		if address == u.self || u.rows.Get(address) != nil || now.Sub(u.failed[address]) < upstreamPause {
 			continue
 		}
 		u.rows.Put(address, upstreamRow{})
+		current++
+	}
+}
+
+// shed drops what is beyond the width, those out of touch first.
+func (u *upstreams) shed(now time.Time) {
+	extra := u.rows.Len() - u.width
+	for _, stale := range []bool{true, false} {
+		u.rows.Each(func(address string, row *upstreamRow) {
+			if extra > 0 && row.current(now) != stale {
+				u.rows.Remove(address)
+				extra--
+			}
+		})
+	}
+}
+
+// order returns the candidates in an order that differs between instances, so
+// that they spread.
+func (u *upstreams) order(candidates []string) []string {
+	if len(candidates) == 0 {
+		return nil
+	}
+	offset := 0
+	for _, c := range u.self {
+		offset = offset*31 + int(c)
 	}
+	first := (offset & 0xffff) % len(candidates)
+	return append(slices.Clone(candidates[first:]), candidates[:first]...)
 }
 
 // answered notes the end of a poll. An instance that does not answer makes
--- a/core/ledger/replica.go
+++ b/core/ledger/replica.go
@@ -47,6 +47,7 @@
 	force       bool
 	electionDue time.Time
 	heardLeader time.Time
+	inTouch     time.Time // when a leader was heard, or a quorum confirmed this one
 	transferDue time.Time
 
 	round      uint64
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -125,6 +125,16 @@
 	return row.leaderInstance
 }
 
+// InTouch returns when this replica last heard of a leader, or as the leader was
+// confirmed by a quorum; the zero time if that never happened in this run.
+func (w *World) InTouch(ledger ID) time.Time {
+	row := w.replicas.Get(ledger)
+	if row == nil {
+		return time.Time{}
+	}
+	return row.inTouch
+}
+
 // CaughtUp reports whether a leader is known and all that it said to be
 // committed is applied here.
 func (w *World) CaughtUp(ledger ID) bool {
--- a/core/ledger/system_elect.go
+++ b/core/ledger/system_elect.go
@@ -94,7 +94,7 @@
 	row.leaseUntil = time.Time{}
 	row.electionDue = now.Add(w.electionTimeout())
 	if leader != "" {
-		row.heardLeader = now
+		row.heardLeader, row.inTouch = now, now
 	}
 }
 
--- a/core/ledger/system_replicate.go
+++ b/core/ledger/system_replicate.go
@@ -201,7 +201,7 @@
 }
 
 // confirmLease extends the lease to the newest round that a quorum confirmed.
-func (w *World) confirmLease(_ time.Time, row *replicaRow) {
+func (w *World) confirmLease(now time.Time, row *replicaRow) {
 	if row.role != RoleLeader {
 		return
 	}
@@ -214,6 +214,7 @@
 		if confirmed {
 			row.leaseUntil = r.sent.Add(w.lease)
 			row.confirmed = r.round
+			row.inTouch = now
 			row.rounds = row.rounds[i+1:]
 			return
 		}
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -1,6 +1,8 @@
 package record
 
 import (
+	"time"
+
 	"papayaquay/core/cluster"
 	"papayaquay/core/directory"
 	"papayaquay/core/member"
@@ -197,12 +199,14 @@
 	Servers  []server
 	Document document
 	Founders []Member
+	AgeMS    int64
 }
 
 // encodeNews encodes the answer to a poll.
 func encodeNews(n cluster.News) ([]byte, error) {
 	u := n.Update()
-	wire := news{Epoch: u.Epoch(), Version: u.Version(), Document: toDocument(n.Document()), Founders: ToMembers(n.Founders())}
+	wire := news{Epoch: u.Epoch(), Version: u.Version(), Document: toDocument(n.Document()), Founders: ToMembers(n.Founders()),
+		AgeMS: n.Age().Milliseconds()}
 	for _, x := range u.Nodes() {
 		wire.Nodes = append(wire.Nodes, toNode(x))
 	}
@@ -228,7 +232,7 @@
 		servers = append(servers, s.server())
 	}
 	return cluster.NewNews(directory.NewUpdate(wire.Epoch, wire.Version, nodes, servers),
-		wire.Document.document(), Members(wire.Founders)), nil
+		wire.Document.document(), Members(wire.Founders), time.Duration(wire.AgeMS)*time.Millisecond), nil
 }
 
 // encodeReport encodes an entry's load.
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -38,7 +38,7 @@
 		{"departure", checkPair(codec.Registry, registry.Depart(registry.NewDeparture("b", 3)))},
 		{"registry", checkPair(codec.RegistryState, registry.Restore(registry.NewDocument(7, []byte("{}")), members, []registry.Departure{registry.NewDeparture("b", 3)}))},
 		{"poll", checkPair(codec.Following, cluster.NewFollowing(node, 1, 2, 3, true))},
-		{"news", checkPair(codec.News, cluster.NewNews(directory.NewUpdate(1, 2, []directory.Node{node}, []member.Backend{server}), registry.NewDocument(7, []byte("{}")), members))},
+		{"news", checkPair(codec.News, cluster.NewNews(directory.NewUpdate(1, 2, []directory.Node{node}, []member.Backend{server}), registry.NewDocument(7, []byte("{}")), members, time.Second))},
 		{"report", checkPair(codec.Report, usage.NewReport(map[string]int{"b": 2}))},
 		{"sums", checkPair(codec.Sums, cluster.NewSums(3, cluster.Loads{"b": usage.NewLoad(2, 1)}))},
 		{"query", checkPair(codec.Query, cluster.NewQuery("j", 4, "i"))},
