Sums of load travel as changes since the asker's last answer

Cause: each answer to an entry's report carried the load of every backend server, some 1.4 kB forty times a second for each busy entry with 90 servers, and grew with the servers. In a profile of 24 entries (15 s, 9 stores, 90 workers, trials on a copy) decoding them and collecting their garbage was a tenth; 8% of the leader of the jobs ledger was encoding them. Change: core/usage.Board keeps the version at which each server's load changed last; an asker says up to where it heard (Mark) and gets what changed since, or all of it from another board.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -54,7 +54,7 @@
 		Registry: pairOf[registry.Command](v), RegistryState: pairOf[*registry.State](v),
 		Batch: pairOf[batch.Command](v), BatchState: pairOf[BatchExport](v),
 		Following: pairOf[Following](v), News: pairOf[News](v),
-		Report: pairOf[usage.Report](v), Sums: pairOf[Sums](v),
+		Enquiry: pairOf[usage.Enquiry](v), Sums: pairOf[Sums](v),
 		Query: pairOf[Query](v), Page: pairOf[batch.Page](v),
 	}
 }
--- a/core/cluster/codec.go
+++ b/core/cluster/codec.go
@@ -111,20 +111,23 @@
 // Loads is what all instances run, by backend server.
 type Loads map[string]usage.Load
 
-// Sums is the load of all instances with the number of entries that report.
+// Sums is what changed of the load of all instances, with the number of entries
+// that report.
 type Sums struct {
 	reporters int
-	loads     Loads
+	change    usage.Change
 }
 
-// NewSums returns the sums over the reports of so many entries.
-func NewSums(reporters int, loads Loads) Sums { return Sums{reporters: reporters, loads: loads} }
+// NewSums returns a change of the sums over the reports of so many entries.
+func NewSums(reporters int, change usage.Change) Sums {
+	return Sums{reporters: reporters, change: change}
+}
 
 // Reporters returns the number of entries that report.
 func (s Sums) Reporters() int { return s.reporters }
 
-// Loads returns the load by backend server.
-func (s Sums) Loads() Loads { return s.loads }
+// Change returns what changed since the asker's last answer.
+func (s Sums) Change() usage.Change { return s.change }
 
 // Codec encodes what travels and what is stored.
 type Codec struct {
@@ -134,7 +137,7 @@
 	BatchState    Pair[BatchExport]
 	Following     Pair[Following]
 	News          Pair[News]
-	Report        Pair[usage.Report]
+	Enquiry       Pair[usage.Enquiry]
 	Sums          Pair[Sums]
 	Query         Pair[Query]
 	Page          Pair[batch.Page]
--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -5,11 +5,14 @@
 
 	"papayaquay/core/batch"
 	"papayaquay/core/call"
+	"papayaquay/core/directory"
 	"papayaquay/core/event"
 	"papayaquay/core/ledger"
 	"papayaquay/core/runner"
 	"papayaquay/core/table"
 	"papayaquay/core/usage"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limits and timing of the jobs ledger.
@@ -30,6 +33,7 @@
 	state    *batch.State
 	runner   *runner.World
 	usage    *usage.World
+	board    *usage.Board // of the sums, for those that report here
 	waiters  *table.Table[askerKey, waiterRow]
 	expireAt time.Time
 	encoding bool
@@ -37,9 +41,10 @@
 	term     uint64 // term in which this instance may run items
 }
 
-// newJobsHost returns the sub-world in its initial state.
-func newJobsHost(r *runner.World) *jobsHost {
+// newJobsHost returns the sub-world of an instance in its initial state.
+func newJobsHost(self directory.Node, r *runner.World) *jobsHost {
 	return &jobsHost{state: batch.New(), runner: r, usage: usage.New(),
+		board:   usage.NewBoard(xxhash.Sum64String(self.Address()) + self.Incarnation()),
 		waiters: table.New[askerKey, waiterRow]()}
 }
 
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -92,30 +92,37 @@
 	})
 }
 
-// serveUsage takes an entry's load and answers with the sums.
+// serveUsage takes an instance's load and answers with what changed of the sums.
 func (w *World) serveUsage(now time.Time, asker askerKey, payload []byte) {
 	if w.jobs == nil || !w.ledgers.Leads(now, JobsLedger) {
 		w.redirect(asker)
 		return
 	}
-	report, err := w.codec.Report.Decode(payload)
+	enquiry, err := w.codec.Enquiry.Decode(payload)
 	if err != nil {
 		event.EncodeFailed.Log(w.logger, "call", "usage", "from", asker.from, "error", err)
 		return
 	}
 	h := w.jobs
-	h.usage.Take(now, asker.from, report)
+	h.usage.Take(now, asker.from, enquiry.Report())
 	loads := make(Loads)
 	h.usage.Each(func(backend string, online int) { loads[backend] = usage.NewLoad(online, 0) })
 	h.runner.Each(func(backend string, items int) {
 		loads[backend] = usage.NewLoad(loads[backend].Online(), items)
 	})
-	answer, err := w.codec.Sums.Encode(NewSums(h.usage.Len(), loads))
+	w.again = true // the runner must look at the new counts
+	w.answerSums(asker, loads, enquiry.Heard())
+}
+
+// answerSums answers with what changed of the sums since the asker's mark.
+func (w *World) answerSums(asker askerKey, loads Loads, heard usage.Mark) {
+	h := w.jobs
+	h.board.Show(loads)
+	answer, err := w.codec.Sums.Encode(NewSums(h.usage.Len(), h.board.Since(heard)))
 	if err != nil {
-		event.EncodeFailed.Log(w.logger, "call", "usage", "to", asker.from, "error", err)
+		event.EncodeFailed.Log(w.logger, "call", "sums", "to", asker.from, "error", err)
 		return
 	}
-	w.again = true // the runner must look at the new counts
 	w.answer(asker, call.StatusDone, answer)
 }
 
--- a/core/cluster/system_share.go
+++ b/core/cluster/system_share.go
@@ -37,11 +37,13 @@
 	others  int  // entries that report to the same instance
 	collect bool // this instance passes on the reports of entries
 	avoid   map[string]time.Time
-	loads   Loads
+	mark    usage.Mark // of the sums as heard last
+	sums    Loads      // of all instances, this one included
+	loads   Loads      // of the others, nothing where that is not known; never changed
 }
 
 // newShare returns the sub-world without reports.
-func newShare() *share { return &share{avoid: make(map[string]time.Time)} }
+func newShare() *share { return &share{avoid: make(map[string]time.Time), sums: make(Loads)} }
 
 // set takes what this entry runs now.
 func (s *share) set(r usage.Report) {
@@ -79,7 +81,7 @@
 	if !s.active || s.asked || now.Before(s.due()) {
 		return
 	}
-	payload, err := w.codec.Report.Encode(s.report)
+	payload, err := w.codec.Enquiry.Encode(usage.NewEnquiry(s.report, s.mark))
 	if err != nil {
 		event.EncodeFailed.Log(w.logger, "call", "usage", "error", err)
 		return
@@ -135,30 +137,25 @@
 		w.serveUsage(now, asker, payload)
 		return
 	}
-	report, err := w.codec.Report.Decode(payload)
+	enquiry, err := w.codec.Enquiry.Decode(payload)
 	if err != nil {
 		event.EncodeFailed.Log(w.logger, "call", "collect", "from", asker.from, "error", err)
 		return
 	}
-	h.usage.Take(now, asker.from, report)
+	h.usage.Take(now, asker.from, enquiry.Report())
 	w.share.collect = true
 	w.share.set(h.usage.Sum())
-	loads := make(Loads, len(w.share.loads))
-	for backend, l := range w.share.loads {
-		loads[backend] = l
+	loads := maps.Clone(w.share.loads)
+	if loads == nil {
+		loads = make(Loads)
 	}
 	h.usage.Each(func(backend string, online int) {
 		loads[backend] = usage.NewLoad(loads[backend].Online()+online, loads[backend].Batch())
 	})
-	answer, err := w.codec.Sums.Encode(NewSums(h.usage.Len(), loads))
-	if err != nil {
-		event.EncodeFailed.Log(w.logger, "call", "collect", "to", asker.from, "error", err)
-		return
-	}
-	w.answer(asker, call.StatusDone, answer)
+	w.answerSums(asker, loads, enquiry.Heard())
 }
 
-// takeLoads keeps what the others run: the sums without this entry's part.
+// takeLoads keeps what the others run: the sums without this instance's part.
 func (w *World) takeLoads(sent usage.Report, reply call.Reply) {
 	s := w.share
 	s.asked = false
@@ -170,11 +167,13 @@
 		event.EncodeFailed.Log(w.logger, "call", "sums", "error", err)
 		return
 	}
-	loads := sums.loads
-	s.others = sums.reporters
+	change := sums.Change()
+	change.Apply(s.sums)
+	s.others, s.mark = sums.Reporters(), change.Mark()
+	s.loads = maps.Clone(s.sums)
 	for backend, running := range sent.Running() {
-		l := loads[backend]
-		loads[backend] = usage.NewLoad(max(l.Online()-running, 0), l.Batch())
+		l := s.loads[backend]
+		s.loads[backend] = usage.NewLoad(max(l.Online()-running, 0), l.Batch())
 	}
-	s.loads, s.heardAt, w.stale = loads, w.now, true
+	s.heardAt, w.stale = w.now, true
 }
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -104,7 +104,7 @@
 func WithLedgers(ledgers *ledger.World) Option { return func(w *World) { w.ledgers = ledgers } }
 
 // WithRunner sets the runner of batch items at store instances.
-func WithRunner(r *runner.World) Option { return func(w *World) { w.jobs = newJobsHost(r) } }
+func WithRunner(r *runner.World) Option { return func(w *World) { w.jobs = newJobsHost(w.self, r) } }
 
 // New returns the control world of an instance. decode reads a configuration
 // document.
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -23,7 +23,7 @@
 		BatchState:    cluster.NewPair(encodeBatchState, decodeBatchState),
 		Following:     cluster.NewPair(encodeFollowing, decodeFollowing),
 		News:          cluster.NewPair(encodeNews, decodeNews),
-		Report:        cluster.NewPair(encodeReport, decodeReport),
+		Enquiry:       cluster.NewPair(encodeEnquiry, decodeEnquiry),
 		Sums:          cluster.NewPair(encodeSums, decodeSums),
 		Query:         cluster.NewPair(encodeQuery, decodeQuery),
 		Page:          cluster.NewPair(encodePage, decodePage),
@@ -235,45 +235,58 @@
 		wire.Document.document(), Members(wire.Founders), time.Duration(wire.AgeMS)*time.Millisecond), nil
 }
 
-// encodeReport encodes an entry's load.
-func encodeReport(r usage.Report) ([]byte, error) {
-	data, err := cbor.Marshal(r.Running())
-	return data, errors.Wrap(err, "encode report")
+// enquiry is the wire form of usage.Enquiry.
+type enquiry struct {
+	_       struct{} `cbor:",toarray"`
+	Running map[string]int
+	Epoch   uint64
+	Version uint64
 }
 
-// decodeReport decodes an entry's load.
-func decodeReport(data []byte) (usage.Report, error) {
-	running := make(map[string]int)
-	err := Decode(data, &running)
-	return usage.NewReport(running), err
+// encodeEnquiry encodes an instance's load and what it heard of the sums.
+func encodeEnquiry(e usage.Enquiry) ([]byte, error) {
+	data, err := cbor.Marshal(enquiry{Running: e.Report().Running(), Epoch: e.Heard().Epoch(), Version: e.Heard().Version()})
+	return data, errors.Wrap(err, "encode enquiry")
+}
+
+// decodeEnquiry decodes an instance's load and what it heard of the sums.
+func decodeEnquiry(data []byte) (usage.Enquiry, error) {
+	var wire enquiry
+	err := Decode(data, &wire)
+	return usage.NewEnquiry(usage.NewReport(wire.Running), usage.NewMark(wire.Epoch, wire.Version)), err
 }
 
 // sums is the wire form of cluster.Sums: online and batch by server.
 type sums struct {
 	_         struct{} `cbor:",toarray"`
 	Reporters int
+	Epoch     uint64
+	Version   uint64
+	Whole     bool
 	Loads     map[string][2]int
 }
 
-// encodeSums encodes the load of all instances.
+// encodeSums encodes what changed of the load of all instances.
 func encodeSums(s cluster.Sums) ([]byte, error) {
-	wire := sums{Reporters: s.Reporters(), Loads: make(map[string][2]int, len(s.Loads()))}
-	for id, load := range s.Loads() {
+	c := s.Change()
+	wire := sums{Reporters: s.Reporters(), Epoch: c.Mark().Epoch(), Version: c.Mark().Version(), Whole: c.Whole(),
+		Loads: make(map[string][2]int, len(c.Loads()))}
+	for id, load := range c.Loads() {
 		wire.Loads[id] = [2]int{load.Online(), load.Batch()}
 	}
 	data, err := cbor.Marshal(wire)
 	return data, errors.Wrap(err, "encode sums")
 }
 
-// decodeSums decodes the load of all instances.
+// decodeSums decodes what changed of the load of all instances.
 func decodeSums(data []byte) (cluster.Sums, error) {
 	var wire sums
 	if err := Decode(data, &wire); err != nil {
 		return cluster.Sums{}, err
 	}
-	loads := make(cluster.Loads, len(wire.Loads))
+	loads := make(map[string]usage.Load, len(wire.Loads))
 	for id, counts := range wire.Loads {
 		loads[id] = usage.NewLoad(counts[0], counts[1])
 	}
-	return cluster.NewSums(wire.Reporters, loads), nil
+	return cluster.NewSums(wire.Reporters, usage.NewChange(usage.NewMark(wire.Epoch, wire.Version), wire.Whole, loads)), nil
 }
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -39,8 +39,8 @@
 		{"registry", checkPair(codec.RegistryState, registry.Restore(registry.NewDocument(7, []byte("{}")), members, []registry.Departure{registry.NewDeparture("b", 3)}))},
 		{"poll", checkPair(codec.Following, cluster.NewFollowing(node, 1, 2, 3, true))},
 		{"news", checkPair(codec.News, cluster.NewNews(directory.NewUpdate(1, 2, []directory.Node{node}, []member.Backend{server}), registry.NewDocument(7, []byte("{}")), members, time.Second))},
-		{"report", checkPair(codec.Report, usage.NewReport(map[string]int{"b": 2}))},
-		{"sums", checkPair(codec.Sums, cluster.NewSums(3, cluster.Loads{"b": usage.NewLoad(2, 1)}))},
+		{"enquiry", checkPair(codec.Enquiry, usage.NewEnquiry(usage.NewReport(map[string]int{"b": 2}), usage.NewMark(3, 4)))},
+		{"sums", checkPair(codec.Sums, cluster.NewSums(3, usage.NewChange(usage.NewMark(3, 4), true, cluster.Loads{"b": usage.NewLoad(2, 1)})))},
 		{"query", checkPair(codec.Query, cluster.NewQuery("j", 4, "i"))},
 		{"page", checkPair(codec.Page, batch.NewPage(3, 2, []batch.PageResult{batch.NewPageResult("i", batch.VerdictDead, []byte("x"))}))},
 	} {
