Entries rank the store instances once, servers vacate addresses on news only

Cause: of 8.76 s of processor time of 24 entries, 2.4% went into ranking all store instances for each report of load, 3% into announcements, most of that looking through all servers for an older one at the same address. Change: the rank is kept until an instance comes or goes; addresses are looked through when a server is new or says something new (an older server at an address was dealt with when the newer one, or its own change, was heard). Ruled out: an index by address, more state for a search that is now rare.

--- a/core/cluster/system_share.go
+++ b/core/cluster/system_share.go
@@ -1,7 +1,9 @@
 package cluster
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"papayaquay/core/call"
@@ -27,19 +29,21 @@
 
 // share is the sub-world of an entry that tells its load and hears the sums.
 type share struct {
-	active  bool // this instance has traffic to report
-	report  usage.Report
-	told    usage.Report
-	changed bool
-	asked   bool
-	sentAt  time.Time
-	heardAt time.Time
-	others  int  // entries that report to the same instance
-	collect bool // this instance passes on the reports of entries
-	avoid   map[string]time.Time
-	mark    usage.Mark // of the sums as heard last
-	sums    Loads      // of all instances, this one included
-	loads   Loads      // of the others, nothing where that is not known; never changed
+	active   bool // this instance has traffic to report
+	report   usage.Report
+	told     usage.Report
+	changed  bool
+	asked    bool
+	sentAt   time.Time
+	heardAt  time.Time
+	others   int  // entries that report to the same instance
+	collect  bool // this instance passes on the reports of entries
+	avoid    map[string]time.Time
+	stores   []string   // those that may collect, the preferred first
+	storesOf uint64     // set of instances that they were taken from
+	mark     usage.Mark // of the sums as heard last
+	sums     Loads      // of all instances, this one included
+	loads    Loads      // of the others, nothing where that is not known; never changed
 }
 
 // newShare returns the sub-world without reports.
@@ -106,23 +110,50 @@
 // nothing where there are so few that they can all go to the leader. Those in
 // the same data centre go first; entries spread over them by hash.
 func (w *World) collector(now time.Time) string {
-	stores := w.directory.Nodes(directory.KindStore)
-	if w.share.collect || len(stores) <= collectAbove {
+	s := w.share
+	if s.collect {
 		return ""
 	}
-	best, most := "", uint64(0)
-	for _, near := range []bool{true, false} {
-		for _, n := range stores {
-			weight := xxhash.Sum64String(w.self.Address() + "\x00" + n.Address())
-			if (!near || n.DataCentre() == w.self.DataCentre()) && now.After(w.share.avoid[n.Address()]) && weight >= most {
-				best, most = n.Address(), weight
-			}
+	if s.storesOf != w.directory.Set() || s.stores == nil {
+		s.stores, s.storesOf = w.rankStores(), w.directory.Set()
+	}
+	if len(s.stores) <= collectAbove {
+		return ""
+	}
+	for _, address := range s.stores {
+		if now.After(s.avoid[address]) {
+			return address
 		}
-		if best != "" {
-			return best
+	}
+	return ""
+}
+
+// rankStores returns the store instances in this entry's order of preference.
+func (w *World) rankStores() []string {
+	type ranked struct {
+		address string
+		near    bool
+		weight  uint64
+	}
+	rows := []ranked{}
+	for _, n := range w.directory.Nodes(directory.KindStore) {
+		rows = append(rows, ranked{n.Address(), n.DataCentre() == w.self.DataCentre(),
+			xxhash.Sum64String(w.self.Address() + "\x00" + n.Address())})
+	}
+	slices.SortFunc(rows, func(a, b ranked) int {
+		if a.near != b.near {
+			if a.near {
+				return -1
+			}
+			return 1
 		}
+		return cmp.Compare(b.weight, a.weight)
+	})
+	addresses := make([]string, 0, len(rows))
+	for _, r := range rows {
+		addresses = append(addresses, r.address)
 	}
-	return best
+	return addresses
 }
 
 // serveCollect takes an entry's load at a store instance and answers with the
--- a/core/directory/world.go
+++ b/core/directory/world.go
@@ -128,12 +128,13 @@
 			return false
 		}
 	}
-	if row == nil || merged.Changed(row.backend) {
-		w.urgent++
-	}
+	news := row == nil || merged.Changed(row.backend)
 	w.version++
 	w.backends.Put(b.ID(), backendRow{backend: merged, heard: now, version: w.version})
-	w.vacate(merged)
+	if news {
+		w.urgent++
+		w.vacate(merged)
+	}
 	return true
 }
 
