Spans of requests, attempts, items and calls on the platform

Change: io/fleet starts a span for each request of a caller with its attempts as children, for each attempt of an item and each call to a ledger, into the file or OTLP address of the settings; without them nothing is exported. Ending a span with an error is shared with io/instance (otlp.End). Ruled out: one trace for a call and the request that it belongs to: calls of front ends carry no context through the control thread, their span names the kind only. Before: the settings key was refused. After: TestSpans passes (real processes).

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -36,6 +36,7 @@
 	ServeFailed     = Event{104, slog.LevelError, "a listener failed"}
 	SettingsRead    = Event{105, slog.LevelInfo, "the settings file was read again"}
 	SettingsRefused = Event{106, slog.LevelWarn, "a changed settings file cannot be used"}
+	SpansLost       = Event{107, slog.LevelWarn, "spans could not be handed out at the stop"}
 	DiskFailed      = Event{110, slog.LevelError, "the disk refused a write"}
 	DiskRepaired    = Event{111, slog.LevelWarn, "a torn record at the end of a log was cut"}
 	DiskCorrupt     = Event{112, slog.LevelError, "a corrupt record before the end of a log was found"}
@@ -91,7 +92,7 @@
 // All returns every event, by number.
 func All() []Event {
 	return []Event{
-		Started, Draining, Stopped, StopOverdue, ServeFailed, SettingsRead, SettingsRefused,
+		Started, Draining, Stopped, StopOverdue, ServeFailed, SettingsRead, SettingsRefused, SpansLost,
 		DiskFailed, DiskRepaired, DiskCorrupt, DiskFresh,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, EncodeFailed,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnounceRefused, PeerRefused,
--- a/io/fleet/calls.go
+++ b/io/fleet/calls.go
@@ -11,6 +11,7 @@
 	"papayaquay/core/member"
 	"papayaquay/core/registry"
 	"papayaquay/io/boottime"
+	"papayaquay/io/otlp"
 	"papayaquay/io/record"
 
 	"github.com/cockroachdb/errors"
@@ -30,10 +31,12 @@
 // ask starts a call on the control thread and waits for its reply.
 func (p *Process) ask(kind call.Kind, target call.Target, bound time.Duration, payload []byte, options ...call.Option) ([]byte, error) {
 	began := time.Now()
+	span := p.spans.call(kind.String())
 	replies := make(chan call.Reply, 1)
 	c := call.New(kind, target, boottime.Now().Add(bound), payload, options...)
 	p.inbox.Post(cluster.Ask(c, func(r call.Reply) { replies <- r }))
 	data, err := result(<-replies)
+	otlp.End(span, err)
 	metrics().called(kind.String(), err, time.Since(began))
 	return data, err
 }
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -9,6 +9,7 @@
 	"papayaquay/core/cluster"
 	"papayaquay/core/runner"
 	"papayaquay/io/forward"
+	"papayaquay/io/otlp"
 )
 
 // itemRuns holds the attempts of batch items under way.
@@ -49,6 +50,7 @@
 	p.items.begin(a.Number(), cancel)
 	go func() {
 		defer p.items.end(a.Number())
+		ctx, span := p.spans.item(ctx, a)
 		item := a.Item()
 		header := make(http.Header)
 		for _, h := range item.Headers() {
@@ -56,6 +58,9 @@
 		}
 		request := forward.NewRequest(item.ID(), http.MethodPost, item.Path(), a.Host(), header, item.Body(), time.Time{})
 		tell := func(end runner.End, text []byte, last uint64) {
+			if end != runner.EndPart {
+				otlp.End(span, outcome(end.String(), runner.EndDone.String()))
+			}
 			p.inbox.Post(cluster.ItemEnded(runner.NewOutcome(a.Number(), end, text, last)))
 		}
 		tell(p.forward.Collect(ctx, request, a.Backend(), a.Last(), a.Progress(),
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -9,6 +9,7 @@
 	"papayaquay/core/entry"
 	"papayaquay/core/progress"
 	"papayaquay/io/forward"
+	"papayaquay/io/otlp"
 )
 
 // Passage is an online request on its way through this entry.
@@ -45,10 +46,25 @@
 // unknown.
 func (f Final) Retry() time.Duration { return f.retry }
 
+// outcome returns how the passage ended, for its span.
+func (f Final) outcome(ok bool) string {
+	switch {
+	case ok:
+		return "answered"
+	case f.Refused():
+		return "refused"
+	case f.gone:
+		return "gone"
+	}
+	return "failed"
+}
+
 // Pass serves an online request: it asks the traffic thread for each step and
 // copies the answer to the caller. ok is false when the front end must end the
 // request as Final says. The context ends when the caller must have an answer.
 func (p *Process) Pass(ctx context.Context, w http.ResponseWriter, passage Passage) (final Final, ok bool) {
+	ctx, span := p.spans.request(ctx, passage.request)
+	defer func() { otlp.End(span, outcome(final.outcome(ok), "answered")) }()
 	decisions := make(chan entry.Decision, 1)
 	counter := progress.New()
 	var current attempt
@@ -76,7 +92,9 @@
 }
 
 // try makes one attempt, with a reserved slot if the decision says so.
-func (p *Process) try(ctx context.Context, relay *forward.Relay, r entry.Request, d entry.Decision) (entry.End, entry.Load) {
+func (p *Process) try(ctx context.Context, relay *forward.Relay, r entry.Request, d entry.Decision) (end entry.End, load entry.Load) {
+	ctx, span := p.spans.attempt(ctx, d)
+	defer func() { otlp.End(span, outcome(end.String(), entry.EndAnswered.String())) }()
 	slot := ""
 	if d.Reserve() {
 		service, _ := p.Snapshot().Config().Service(r.Service())
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -62,6 +62,7 @@
 	store     *disk.Store
 	client    *peer.Client
 	forward   *forward.Client
+	spans     *spans
 	inbox     *tick.Inbox[cluster.Input]
 	world     *cluster.World
 	traffic   *tick.Inbox[entry.Input]
@@ -101,6 +102,10 @@
 	p.snapshot.Store(cluster.NewSnapshot(nil, nil, nil))
 	p.client = peer.NewClient(s.PeerAddress(), peerKeys, peer.WithSource(s.Source()))
 	p.forward = forward.New(front.dialect, forward.WithSource(s.Source()))
+	var err error
+	if p.spans, err = newSpans(s.Name(), s.TraceFile(), s.TraceEndpoint()); err != nil {
+		return nil, err
+	}
 	if err := p.openStore(); err != nil {
 		return nil, err
 	}
@@ -181,6 +186,9 @@
 	if p.store != nil {
 		p.store.Close()
 	}
+	if lost := p.spans.close(); lost != nil {
+		event.SpansLost.Log(p.logger, "error", lost)
+	}
 	event.Stopped.Log(p.logger, "instance", p.settings.Name())
 	return err
 }
--- a/io/instance/spans.go
+++ b/io/instance/spans.go
@@ -3,7 +3,8 @@
 import (
 	"sync"
 
-	"go.opentelemetry.io/otel/codes"
+	"papayaquay/io/otlp"
+
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -27,14 +28,6 @@
 	delete(m.open, id)
 	m.mu.Unlock()
 	if span != nil {
-		endSpan(span, err)
-	}
-}
-
-// endSpan ends a span with its error.
-func endSpan(span trace.Span, err error) {
-	if err != nil {
-		span.SetStatus(codes.Error, err.Error())
+		otlp.End(span, err)
 	}
-	span.End()
 }
--- a/io/instance/threads.go
+++ b/io/instance/threads.go
@@ -10,6 +10,7 @@
 	"papayaquay/core/outcome"
 	"papayaquay/core/tick"
 	"papayaquay/core/traffic"
+	"papayaquay/io/otlp"
 
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
@@ -49,7 +50,7 @@
 	_, span := i.tracer.Start(ctx, "ledger", trace.WithAttributes(
 		attribute.String("ledger", string(call.Ledger())), attribute.Int("kind", int(call.Kind()))))
 	i.controlInbox.Post(control.Ask(call, func(r control.Result) {
-		endSpan(span, r.Err())
+		otlp.End(span, r.Err())
 		reply(r)
 	}))
 }
--- a/io/otlp/trace.go
+++ b/io/otlp/trace.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 )
 
 // fileMode is the mode of the span file.
@@ -60,3 +61,11 @@
 
 // Stop flushes the spans.
 func (e *Exporter) Stop(ctx context.Context) error { return errors.Wrap(e.stop(ctx), "flush spans") }
+
+// End ends a span with its error, if there is one.
+func End(span trace.Span, err error) {
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
--- a/io/settings/fleet.go
+++ b/io/settings/fleet.go
@@ -46,6 +46,7 @@
 	MemoryMB       int      `toml:"memory_mb"`
 	StopBound      duration `toml:"stop_bound"`
 	LogLevel       string   `toml:"log_level"`
+	Trace          trace    `toml:"trace"`
 }
 
 // Fleet is the checked content of the settings file of an instance in a
@@ -196,3 +197,9 @@
 
 // LogLevel returns the least severity that is logged.
 func (f *Fleet) LogLevel() slog.Level { return logLevels[f.content.LogLevel] }
+
+// TraceFile returns the file that spans are written to, or nothing.
+func (f *Fleet) TraceFile() string { return f.content.Trace.File }
+
+// TraceEndpoint returns the OTLP address that spans are sent to, or nothing.
+func (f *Fleet) TraceEndpoint() string { return f.content.Trace.Endpoint }
