Polls are kept by follower and looked at when one is due or there are news

Cause: each poll that came looked at all waiting polls, and each tick did too: faster than linear in the followers (docs/CAPACITY.md said so). Change: the table is keyed by follower; a tick looks at the polls only when one is due or the directory, the configuration or the founders changed; a poll that can be answered at once never waits. Ruled out: a heap by due time, since all polls are looked at once a hold anyway.

--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -38,15 +38,12 @@
 		return
 	}
 	w.directory.Hear(now, f.node)
-	if r.Hold() == 0 {
+	row := pollRow{number: asker.number, following: f, due: now.Add(r.Hold()), urgent: w.directory.Urgent()}
+	if r.Hold() == 0 || f.epoch != w.directory.Epoch() || f.version == 0 || w.hasNews(&row) {
 		w.news(asker, f)
 		return
 	}
-	row := pollRow{following: f, due: now.Add(r.Hold()), urgent: w.directory.Urgent()}
-	if f.epoch != w.directory.Epoch() || f.version == 0 {
-		row.due = now
-	}
-	w.polls.add(pollKey(asker), row)
+	w.polls.add(asker.from, row)
 }
 
 // servePropose proposes a command; its caller is answered when it is applied.
@@ -215,7 +212,7 @@
 
 // answerWaiting answers the polls and reads whose news came or whose time is up.
 func (w *World) answerWaiting(now time.Time) {
-	w.polls.take(now, w.hasNews, func(key pollKey, f Following) { w.news(askerKey(key), f) })
+	w.polls.take(now, w.newsMark(), w.hasNews, w.news)
 	h := w.jobs
 	if h == nil {
 		return
--- a/core/cluster/system_follow.go
+++ b/core/cluster/system_follow.go
@@ -129,6 +129,15 @@
 	return at
 }
 
+// newsMark names the state of what may answer polls before they are due.
+func (w *World) newsMark() newsMark {
+	m := newsMark{urgent: w.directory.Urgent(), number: w.document.Number()}
+	if w.registry != nil {
+		m.founders = len(w.registry.state.Founders())
+	}
+	return m
+}
+
 // hasNews reports whether a poll must be answered at once.
 func (w *World) hasNews(row *pollRow) bool {
 	if row.urgent < w.directory.Urgent() || row.following.number < w.document.Number() {
