A stopping server answers every request that it began to run

The entry got SIGTERM at 18.680 s; at 21.184, as the balancer's pause was over, a request that had arrived at 21.113 reached its server and its connection was closed in the same millisecond. net/http closes the connections that it counts as idle when keep-alive ends; one whose request is being read still counts as idle, so its handler runs on a closed connection. Ruled out: a time-out or a limit (none was near), the caller (it waited), the backend server (it was cancelled by us); a longer pause, which moves the moment only. Change: io/socket.Held: a handler takes its connection or does not run; a close that finds it taken waits for the answer; the stop waits for such closes. Before: TestStop without the guard failed in the first rounds (4 and 60 callers). After: it passes, 60 rounds, also with -race; TestHeldConn holds each order of the two.

--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -23,6 +23,7 @@
 	"papayaquay/io/forward"
 	"papayaquay/io/peer"
 	"papayaquay/io/settings"
+	"papayaquay/io/socket"
 
 	"github.com/cockroachdb/errors"
 )
@@ -74,6 +75,7 @@
 	wait      sync.WaitGroup
 	listeners []net.Listener
 	servers   []*http.Server
+	held      *socket.Held
 }
 
 // Option changes a process at construction.
@@ -92,7 +94,7 @@
 func New(s *settings.Fleet, front FrontEnd, options ...Option) (*Process, error) {
 	p := &Process{
 		settings: s, front: front, logger: slog.New(slog.DiscardHandler), wall: time.Now,
-		inbox: tick.NewInbox[cluster.Input](), served: make(chan error, 1),
+		inbox: tick.NewInbox[cluster.Input](), served: make(chan error, 1), held: socket.NewHeld(),
 		items: itemRuns{cancels: make(map[uint64]context.CancelFunc)},
 	}
 	for _, option := range options {
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -78,9 +78,10 @@
 		return err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	p.held.Guard(server)
 	p.servers = append(p.servers, server)
 	p.spawn(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(p.held.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			p.report(errors.Wrapf(err, "serve on %s", address))
 		}
 	})
--- a/io/fleet/shutdown.go
+++ b/io/fleet/shutdown.go
@@ -40,6 +40,7 @@
 			s.Close()
 		}
 	}
+	p.held.Wait(bounded)
 }
 
 // handOver gives up the lead of the hosted ledger.
