Entries take servers with a kept connection and room first

Logs of ten entries: a kept connection was taken for free for 8 s whatever the server said, weighted 8 times, and 27 to 30% of the requests opened a new one. Most of the rest are reservations at servers without a connection: 670 of 962 were refused in 6 s at twenty entries. Change: a server whose connection is likely to be kept, by the time that it states itself (Keep-Alive), and that has more room than needs a reservation, is drawn first. TestWarm failed for a server that does not tell its load, which was forgotten with its connection; it passes.

--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -269,3 +270,40 @@
 		e.c.Assert(e.last().Backend().DataCentre(), qt.Equals, "z0")
 	}
 }
+
+// TestWarm checks that a request goes where a kept connection is likely to be
+// free, as long as that server has room.
+func TestWarm(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		kept  time.Duration // as the server said
+		pause time.Duration // since its last answer
+		load  usage.Load    // of others, on that server
+		same  bool          // every request goes there
+	}{
+		{"just used", 10 * time.Second, time.Millisecond, usage.Load{}, true},
+		{"used while connections are kept", 10 * time.Second, 8 * time.Second, usage.Load{}, true},
+		{"idle for longer than connections are kept", time.Second, 2 * time.Second, usage.Load{}, false},
+		{"the server did not say", 0, 2 * warmFor, usage.Load{}, false},
+		{"little room", 10 * time.Second, time.Millisecond, usage.NewLoad(8-reserveFrom, 0), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			elsewhere := 0
+			for seed := range uint64(20) {
+				e := newTestEntry(t, 8, nil)
+				e.world.random = rand.New(rand.NewPCG(seed, 1))
+				e.submit(false, 1, progress.New())
+				first := e.last()
+				e.step(time.Millisecond, Answering(first.Number(), Load{}.WithKept(test.kept)))
+				e.step(time.Millisecond, Ended(first.Number(), EndAnswered, Load{}))
+				e.snapshot = cluster.NewSnapshot(nil, e.snapshot.Servers(), cluster.Loads{first.Backend().ID(): test.load})
+				e.step(test.pause)
+				e.submit(false, 1, progress.New())
+				if e.last().Backend().ID() != first.Backend().ID() {
+					elsewhere++
+				}
+			}
+			qt.Assert(t, elsewhere == 0, qt.Equals, test.same, qt.Commentf("%d of 20 elsewhere", elsewhere))
+		})
+	}
+}
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -120,6 +120,7 @@
 	waiting int
 	slots   int
 	pace    int
+	kept    time.Duration
 }
 
 // NewLoad returns a report: requests running and waiting, slots, and how long
@@ -128,6 +129,13 @@
 	return Load{running: running, waiting: waiting, slots: slots, pace: pace}
 }
 
+// WithKept returns the report with how long the server keeps an idle connection,
+// 0 if it did not say.
+func (l Load) WithKept(kept time.Duration) Load {
+	l.kept = kept
+	return l
+}
+
 // Known reports whether the server sent a report.
 func (l Load) Known() bool { return l.slots > 0 }
 
@@ -159,6 +167,7 @@
 	silent   bool          // no attempt there makes progress
 	alive    bool          // some attempt there makes progress
 	usedAt   time.Time     // end of the last answer
+	kept     time.Duration // how long it keeps an idle connection, 0 if unknown
 	suspect  bool          // out of use until a connection can be opened
 	probing  bool          // a connection is being opened
 	address  string
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -20,16 +20,21 @@
 // nearWeight prefers servers in the same data centre among equals.
 const nearWeight = 1.5
 
-// choose picks a server at random, weighted by its free slots. Without a free
-// slot anywhere it takes one whose batch items will give way, else the one
-// with the fewest online requests.
+// choose picks a server at random, weighted by its free slots: one with a kept
+// connection and room, if there is any, else any with a free slot. Without a free
+// slot anywhere it takes one whose batch items will give way, else the one with
+// the fewest online requests.
 func (w *World) choose(now time.Time, row *requestRow) (choice, bool) {
 	servers := w.candidates(now, row, false)
 	if len(servers) == 0 {
 		servers = w.candidates(now, row, true)
 	}
+	if c, ok := w.draw(now, w.warmOnes(now, servers), true, reserveFrom); ok {
+		c.candidates = len(servers)
+		return c, true
+	}
 	for _, batchCounts := range []bool{true, false} {
-		if c, ok := w.draw(now, servers, batchCounts); ok {
+		if c, ok := w.draw(now, servers, batchCounts, 0); ok {
 			return c, true
 		}
 	}
@@ -108,13 +113,32 @@
 // Preference for servers with a kept connection.
 const (
 	warmWeight = 8
-	warmFor    = 8 * time.Second // connections are kept a little longer
+	warmShare  = 0.9         // of the time that a server says it keeps a connection
+	warmFor    = time.Second // where it does not say
 )
 
 // warm reports whether a kept connection to a server is likely to be free.
 func (w *World) warm(now time.Time, id string) bool {
 	state := w.servers.Get(id)
-	return state != nil && state.inFlight == 0 && now.Sub(state.usedAt) < warmFor
+	if state == nil || state.inFlight > 0 {
+		return false
+	}
+	bound := warmFor
+	if state.kept > 0 {
+		bound = time.Duration(warmShare * float64(state.kept))
+	}
+	return now.Sub(state.usedAt) < bound
+}
+
+// warmOnes returns the servers to which a kept connection is likely to be free.
+func (w *World) warmOnes(now time.Time, servers []directory.Server) []directory.Server {
+	var ones []directory.Server
+	for _, s := range servers {
+		if w.warm(now, s.Backend().ID()) {
+			ones = append(ones, s)
+		}
+	}
+	return ones
 }
 
 // Pace of servers.
@@ -123,8 +147,8 @@
 	paceFresh = 300 * time.Millisecond
 )
 
-// draw picks among servers with free slots.
-func (w *World) draw(now time.Time, servers []directory.Server, batchCounts bool) (choice, bool) {
+// draw picks among servers with more free slots than a number.
+func (w *World) draw(now time.Time, servers []directory.Server, batchCounts bool, above int) (choice, bool) {
 	var choices []choice
 	sum := 0.0
 	for _, s := range servers {
@@ -133,10 +157,10 @@
 		if batchCounts {
 			used += batch
 		}
-		free := float64(s.Backend().Slots() - used)
-		if free <= 0 {
+		if s.Backend().Slots()-used <= above {
 			continue
 		}
+		free := float64(s.Backend().Slots() - used)
 		weight := free * free / w.pace(now, s.Backend().ID())
 		if w.warm(now, s.Backend().ID()) {
 			weight *= warmWeight
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -54,7 +54,7 @@
 	}
 	w.servers.Each(func(id string, row *serverRow) {
 		row.quiet, row.alive = now.Sub(row.loadAt), false
-		if row.inFlight == 0 && (!known[id] || (!row.suspect && now.After(row.paused) && row.quiet > forgetAfter)) {
+		if row.inFlight == 0 && (!known[id] || (!row.suspect && now.After(row.paused) && min(row.quiet, now.Sub(row.usedAt)) > forgetAfter)) {
 			w.servers.Remove(id)
 		}
 	})
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -214,9 +214,10 @@
 		return
 	}
 	row.headAt = now
+	server := w.server(row.backend)
+	server.kept = load.kept
 	if !load.Known() {
 		return
 	}
-	server := w.server(row.backend)
 	server.load, server.loadAt, server.failures = load, now, 0
 }
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
+	"strings"
 	"time"
 
 	"papayaquay/core/entry"
@@ -179,5 +181,19 @@
 	if err != nil {
 		return nil, sent
 	}
-	return &answer{response: response, head: c.dialect.read(r.id, response.StatusCode, response.Header)}, true
+	head := c.dialect.read(r.id, response.StatusCode, response.Header)
+	head.load = head.load.WithKept(keptFor(response.Header))
+	return &answer{response: response, head: head}, true
+}
+
+// keptFor returns how long a server keeps an idle connection, 0 if it does not
+// say. Source: the timeout parameter of Keep-Alive, RFC 2068, section 19.7.1.1.
+func keptFor(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
 }
