--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -20,8 +20,8 @@
 
 // Collect runs a request on one server and collects the data of its events
 // after the one with the id last, separated by line feeds. counter counts the
-// reads, part is told of output on the way. It returns how that ended, the text after the last part
-// and the id of the newest event.
+// reads, part is told of output on the way. It returns how that ended, the text
+// after the last part and the id of the newest event.
 func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, last uint64, counter *progress.Counter, part func(text []byte, last uint64)) (runner.End, []byte, uint64) {
 	a, sent := c.send(ctx, r, b, last, "")
 	switch {
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -20,16 +20,11 @@
 	"papayaquay/io/socket"
 )
 
-// IdleTimeout is how long a connection to a backend server is kept for the next
-// request. Servers close theirs after ten seconds; one that ends first takes no
-// request with it.
-const IdleTimeout = 9 * time.Second
-
 // Limits of connections to backend servers.
 const (
 	dialTimeout    = 250 * time.Millisecond
 	silenceTimeout = 1500 * time.Millisecond // bytes that a server does not confirm
-	idleTimeout    = IdleTimeout
+	idleTimeout    = 9 * time.Second         // ends before servers usually end it, perhaps under a request
 	maxIdlePerHost = 64
 	headBytes      = 64 << 10
 )
