First answers to crowds of followers are encoded once and waited for longer

Change: an answer to a follower that knows nothing is used again for 0.1 s while nothing urgent changed; the wait for a first answer doubles with each miss, to 1.2 s. Before: TestCrowd encoded 60 answers for 60 followers, now one, or two with a change. TestPatience holds the times.

--- a/core/cluster/follow_test.go
+++ b/core/cluster/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
@@ -131,3 +132,68 @@
 		})
 	}
 }
+
+// TestCrowd checks that followers that start together get one encoded answer, and
+// that it is made anew when something urgent changed.
+func TestCrowd(t *testing.T) {
+	const entries = 60
+	for _, test := range []struct {
+		name    string
+		arrive  bool // a server between the polls
+		encoded int
+	}{
+		{"nothing changes", false, 1},
+		{"a server comes", true, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 3)
+			s.run(4 * time.Second)
+			s.announce("c0", "b0", 1)
+			s.run(time.Second)
+			encoded := 0
+			news := s.codec.News
+			w := s.node("c0").world
+			w.codec.News = NewPair(func(n News) ([]byte, error) {
+				encoded++
+				return news.Encode(n)
+			}, news.Decode)
+			for i := range entries {
+				node := directory.NewNode(fmt.Sprintf("x%d", i), "x", "z0", directory.KindEntry, 1)
+				w.news(askerKey{from: node.Address()}, NewFollowing(node, 0, 0, 0, true))
+				if test.arrive && i == entries/2 {
+					s.announce("c0", "b1", 1)
+					w.Step(s.now, s.node("c0").inbox)
+					s.node("c0").inbox = nil
+				}
+			}
+			s.c.Assert(encoded >= test.encoded && encoded < entries/4, qt.IsTrue, qt.Commentf("%d encoded", encoded))
+		})
+	}
+}
+
+// TestPatience checks that an instance that does not answer first polls is given
+// more time with each, and the usual time once it answered.
+func TestPatience(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		missed int
+		want   time.Duration
+	}{
+		{"never asked", 0, firstTimeout},
+		{"missed once", 1, 2 * firstTimeout},
+		{"missed often", 40, firstLongest},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			u := newUpstreams("me", 1, slog.New(slog.DiscardHandler))
+			u.left = func(uint64) {}
+			for range test.missed {
+				u.rows.Put("c", upstreamRow{asked: true})
+				u.answered(call.NewReply(0, call.StatusUnsent, nil), "c")
+			}
+			qt.Assert(t, u.patience("c"), qt.Equals, test.want)
+			u.rows.Put("c", upstreamRow{asked: true})
+			u.answered(call.NewReply(0, call.StatusDone, nil), "c")
+			qt.Assert(t, u.patience("c"), qt.Equals, firstTimeout)
+		})
+	}
+}
--- a/core/cluster/system_follow.go
+++ b/core/cluster/system_follow.go
@@ -29,7 +29,7 @@
 	}
 	hold, timeout := followHold, followTimeout
 	if !row.known {
-		hold, timeout = 0, firstTimeout
+		hold, timeout = 0, w.upstreams.patience(address)
 	}
 	c := call.New(call.KindFollow, call.TargetNode, now.Add(hold+timeout), payload, call.WithAddress(address), call.WithHold(hold))
 	w.calls.Start(now, c, func(reply call.Reply) {
@@ -99,9 +99,16 @@
 	}
 }
 
-// news answers a follower's poll.
+// news answers a follower's poll. Followers that know nothing yet come in crowds,
+// when they or this instance were started: they get one answer that is encoded once.
 func (w *World) news(asker askerKey, f Following) {
-	n := News{update: w.directory.Since(f.epoch, f.version, f.node.Kind() == directory.KindControl), age: w.now.Sub(w.inTouch())}
+	key := wholeKey{number: f.number, founded: f.founded, judges: f.node.Kind() == directory.KindControl}
+	whole := f.version == 0 || f.epoch != w.directory.Epoch()
+	if whole && w.whole.fits(key, w.now, w.directory.Urgent()) {
+		w.answer(asker, call.StatusDone, w.whole.payload)
+		return
+	}
+	n := News{update: w.directory.Since(f.epoch, f.version, key.judges), age: w.now.Sub(w.inTouch())}
 	if f.number < w.document.Number() {
 		n.document = w.document
 	}
@@ -113,6 +120,9 @@
 		event.EncodeFailed.Log(w.logger, "call", "news", "to", asker.from, "error", err)
 		return
 	}
+	if whole {
+		w.whole = wholeNews{key: key, payload: payload, made: w.now, urgent: w.directory.Urgent()}
+	}
 	w.answer(asker, call.StatusDone, payload)
 }
 
--- a/core/cluster/upstream.go
+++ b/core/cluster/upstream.go
@@ -14,8 +14,9 @@
 const (
 	followWidth   = 2 // control instances that an instance follows
 	followHold    = 500 * time.Millisecond
-	followTimeout = 400 * time.Millisecond  // beyond the hold
-	firstTimeout  = 300 * time.Millisecond  // of the first poll, which is answered at once
+	followTimeout = 400 * time.Millisecond // beyond the hold
+	firstTimeout  = 300 * time.Millisecond // of the first poll, which is answered at once; doubled with each failure
+	firstLongest  = 1200 * time.Millisecond
 	upstreamPause = 300 * time.Millisecond  // before an instance that did not answer is asked again
 	upstreamAge   = 1200 * time.Millisecond // out of touch with the leader for longer, another one is followed besides
 )
@@ -42,6 +43,7 @@
 	logger *slog.Logger
 	rows   *table.Table[string, upstreamRow]
 	failed map[string]time.Time
+	missed map[string]int // first polls in a row without an answer
 	poll   func(now time.Time, address string, row *upstreamRow, done func(call.Reply))
 	left   func(epoch uint64) // told which directory is not followed any more
 }
@@ -50,7 +52,7 @@
 // meaning all.
 func newUpstreams(self string, width int, logger *slog.Logger) *upstreams {
 	return &upstreams{self: self, width: width, logger: logger,
-		rows: table.New[string, upstreamRow](), failed: make(map[string]time.Time)}
+		rows: table.New[string, upstreamRow](), failed: make(map[string]time.Time), missed: make(map[string]int)}
 }
 
 // run chooses upstreams among the candidates and polls those that are idle.
@@ -128,6 +130,7 @@
 	}
 	row.asked = false
 	if reply.Status() == call.StatusDone {
+		delete(u.missed, address)
 		if !row.known {
 			event.UpstreamFound.Log(u.logger, "control", address)
 		}
@@ -136,6 +139,8 @@
 	}
 	if row.known {
 		event.UpstreamLost.Log(u.logger, "control", address)
+	} else {
+		u.missed[address]++
 	}
 	u.drop(address)
 }
@@ -164,5 +169,11 @@
 	}
 }
 
+// patience returns how long the first answer of an instance is waited for. One that
+// is overloaded by the first polls of many must not get more of them.
+func (u *upstreams) patience(address string) time.Duration {
+	return min(firstTimeout<<min(u.missed[address], 10), firstLongest)
+}
+
 // lost keeps an instance out of the choice for a while.
 func (u *upstreams) lost(now time.Time, address string) { u.failed[address] = now }
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -55,6 +55,7 @@
 	document registry.Document
 	config   *routing.Config
 	founders []ledger.Member
+	whole    wholeNews
 
 	now             time.Time
 	again           bool
