--- a/io/record/batch.go
+++ b/io/record/batch.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"bytes"
 	"time"
 
 	"papayaquay/core/batch"
@@ -165,21 +166,63 @@
 	Retirees []string
 }
 
-// encodeBatchState encodes a snapshot of the jobs ledger.
-func encodeBatchState(e cluster.BatchExport) ([]byte, error) {
-	wire := batchState{Retirees: e.Retirees()}
-	for _, j := range e.Jobs() {
-		job := batchJob{Order: toBatchOrder(j.Order()), Ended: j.Ended()}
+// toBatchJob returns the wire form of a job.
+func toBatchJob(j batch.Job) batchJob {
+	job := batchJob{Order: toBatchOrder(j.Order()), Ended: j.Ended()}
+	for _, r := range j.Results() {
+		job.Results = append(job.Results, batchResult{Item: r.Item(), Verdict: uint8(r.Verdict()), Text: r.Text()})
+	}
+	for item, p := range j.Parts() {
+		job.Parts = append(job.Parts, batchResult{Item: item, Text: p.Text(), Last: p.Last()})
+	}
+	return job
+}
+
+// Room in the encoded form beside bodies, headers and texts, in bytes.
+const (
+	roomJob  = 256
+	roomItem = 64
+)
+
+// stateRoom returns about how long the encoded form of jobs is.
+func stateRoom(jobs []batch.Job) int {
+	room := roomJob
+	for _, j := range jobs {
+		room += roomJob
+		for _, i := range j.Order().Items() {
+			room += roomItem + len(i.ID()) + len(i.Path()) + len(i.Body())
+			for _, h := range i.Headers() {
+				room += len(h.Name()) + len(h.Value())
+			}
+		}
 		for _, r := range j.Results() {
-			job.Results = append(job.Results, batchResult{Item: r.Item(), Verdict: uint8(r.Verdict()), Text: r.Text()})
+			room += roomItem + len(r.Text())
 		}
-		for item, p := range j.Parts() {
-			job.Parts = append(job.Parts, batchResult{Item: item, Text: p.Text(), Last: p.Last()})
+		for _, p := range j.Parts() {
+			room += roomItem + len(p.Text())
 		}
-		wire.Jobs = append(wire.Jobs, job)
 	}
-	data, err := cbor.Marshal(wire)
-	return data, errors.Wrap(err, "encode batch state")
+	return room
+}
+
+// encodeBatchState encodes a snapshot of the jobs ledger job by job into one
+// buffer of about the size that it needs: an instance has memory for the state and
+// one copy, not for the buffers of an encoder that grow.
+func encodeBatchState(e cluster.BatchExport) ([]byte, error) {
+	var out bytes.Buffer
+	out.Grow(stateRoom(e.Jobs()))
+	encoder := cbor.NewEncoder(&out)
+	steps := []func() error{encoder.StartIndefiniteArray, encoder.StartIndefiniteArray}
+	for _, j := range e.Jobs() {
+		steps = append(steps, func() error { return encoder.Encode(toBatchJob(j)) })
+	}
+	steps = append(steps, encoder.EndIndefinite, func() error { return encoder.Encode(e.Retirees()) }, encoder.EndIndefinite)
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, errors.Wrap(err, "encode batch state")
+		}
+	}
+	return out.Bytes(), nil
 }
 
 // decodeBatchState decodes a snapshot of the jobs ledger.
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -1,6 +1,8 @@
 package record
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -88,3 +90,36 @@
 	c.Assert(restored.Waiting("r"), qt.Equals, 5)
 	c.Assert(restored.Retiring("a:1"), qt.IsTrue)
 }
+
+// TestSnapshotMemory checks that encoding a snapshot takes little more memory than
+// its result, whose size alone an instance must have free.
+func TestSnapshotMemory(t *testing.T) {
+	for _, test := range []struct {
+		name              string
+		jobs, items, body int
+	}{
+		{"many large items", 200, 10, 15000},
+		{"many small items", 500, 20, 200},
+		{"few huge items", 4, 2, 4 << 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := batch.New()
+			for j := range test.jobs {
+				var items []batch.Item
+				for i := range test.items {
+					items = append(items, batch.NewItem(fmt.Sprintf("%d-%d", j, i), "/p", nil, make([]byte, test.body), 5))
+				}
+				s.Apply(batch.Submit(batch.NewOrder(fmt.Sprint(j), "r", "h", items)))
+			}
+			export := cluster.NewBatchExport(s.Export(), s.Retirees())
+			runtime.GC()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			data, err := encodeBatchState(export)
+			runtime.ReadMemStats(&after)
+			qt.Assert(t, err, qt.IsNil)
+			allocated := after.TotalAlloc - before.TotalAlloc
+			qt.Assert(t, allocated < 2*uint64(len(data)), qt.IsTrue, qt.Commentf("%d bytes for %d", allocated, len(data)))
+		})
+	}
+}
