--- a/io/disk/frame.go
+++ b/io/disk/frame.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"math"
+	"slices"
 
 	"papayaquay/core/ledger"
 	"papayaquay/io/record"
@@ -67,18 +68,45 @@
 	return ledger.NewSnapshot(b.Index, b.Term, record.Members(b.Members), b.Data)
 }
 
-// appendFrame appends the frame of a body to buffer.
+// CBOR of a record's data, RFC 8949, section 3: the key of body.Data and the head of
+// a byte string with four bytes of length. A body has fewer than 24 keys, so the first
+// byte of its map holds their number.
+const (
+	keyData   = 0x08
+	bytesHead = 0x5a
+	dataRoom  = 6 // key, head and length
+)
+
+// appendFrame appends the frame of a body to buffer. The data of a snapshot may be
+// half of what an instance holds, so they are copied once, not through the buffers
+// of an encoder.
 func appendFrame(buffer []byte, b body) ([]byte, error) {
-	data, err := cbor.Marshal(b)
+	data := b.Data
+	b.Data = nil
+	head, err := cbor.Marshal(b)
 	if err != nil {
 		return buffer, errors.Wrap(err, "encode record")
 	}
-	if len(data) > maxBody {
-		return buffer, errors.Newf("record of %d bytes exceeds %d", len(data), maxBody)
+	size := len(head)
+	if len(data) > 0 {
+		size += dataRoom + len(data)
+		head[0]++ // one more key
+	}
+	if size > maxBody {
+		return buffer, errors.Newf("record of %d bytes exceeds %d", size, maxBody)
+	}
+	start := len(buffer)
+	buffer = slices.Grow(buffer, headerBytes+size)
+	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(size))
+	buffer = binary.LittleEndian.AppendUint32(buffer, 0) // the checksum of what follows
+	buffer = append(buffer, head...)
+	if len(data) > 0 {
+		buffer = binary.BigEndian.AppendUint32(append(buffer, keyData, bytesHead), uint32(len(data)))
+		buffer = append(buffer, data...)
 	}
-	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(data)))
-	buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(data, castagnoli))
-	return append(buffer, data...), nil
+	content := buffer[start+headerBytes:]
+	binary.LittleEndian.PutUint32(buffer[start+4:], crc32.Checksum(content, castagnoli))
+	return buffer, nil
 }
 
 // readFrame decodes the frame at the start of data and returns its size.
