A comment says why control instances that follow each other grow old

Cause: the comment of inTouch could not be understood. No behaviour changed; core/cluster passes, borders checked.

--- a/core/cluster/system_follow.go
+++ b/core/cluster/system_follow.go
@@ -127,8 +127,9 @@
 }
 
 // inTouch returns when this control instance was last in touch with the leader of
-// the control ledger: by its replica, or by those that it follows. It follows
-// others without end in a circle, but each step makes the time older.
+// the control ledger: by its replica, or by those that it follows. Control
+// instances follow each other, so two that are cut off together repeat each other's
+// time; it does not get newer by that, and counts as old in the end.
 func (w *World) inTouch() time.Time {
 	at := w.ledgers.InTouch(ControlLedger)
 	w.upstreams.rows.Each(func(_ string, row *upstreamRow) {
