Logs and metrics of batch items tell their size and each start

No log line named the size of an item, and no line told that an attempt started, so that large items that start late, are preempted more often or expire could not be told apart. Ruled out: sizes from the submitted job joined by hand; the line of an accepted job is written at an entry and names no items. Change: events 420 and 421 name tokens, 421 also the progress, 422 the number and size of the abandoned items; event 427 is written at each start with size, progress, time until due and whether the job counts as late; counters fleet_item_sizes_* by status and size. No decision changes. Tests of core/event and core/runner pass.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -77,6 +77,7 @@
 	RunnerChanged         = Event{424, slog.LevelInfo, "this instance started or stopped running batch items"}
 	ResultMismatch        = Event{425, slog.LevelWarn, "the result of an item did not continue its stored output"}
 	ItemStalled           = Event{426, slog.LevelWarn, "an attempt of a batch item was stopped because it made no progress"}
+	ItemAttemptStarted    = Event{427, slog.LevelInfo, "an attempt of a batch item started"}
 	ConfigApplied         = Event{500, slog.LevelDebug, "a configuration revision was applied"}
 )
 
@@ -98,7 +99,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected,
-		RequestEnded, AttemptStarted, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled,
+		RequestEnded, AttemptStarted, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
 	}
--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -118,6 +118,7 @@
 type runningRow struct {
 	key             itemKey
 	backend         string
+	tokens          int // size of the item
 	started         time.Time
 	stopping        bool
 	stalled         bool // stopped because no bytes arrived
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -53,7 +53,8 @@
 		return false
 	}
 	event.ItemPreempted.Log(w.logger, "job", victim.key.job, "item", victim.key.item, "backend", backend,
-		"online", w.onlineRequests(backend), "batch", w.runningItems[backend], "ran_ms", now.Sub(victim.started).Milliseconds())
+		"online", w.onlineRequests(backend), "batch", w.runningItems[backend], "tokens", victim.tokens, "after_event", victim.afterEvent,
+		"ran_ms", now.Sub(victim.started).Milliseconds())
 	w.preemptedAt.Put(backend, now)
 	w.requestStop(victimNumber, victim)
 	return true
@@ -91,12 +92,14 @@
 	if !ok {
 		return
 	}
-	event.JobAbandoned.Log(w.logger, "job", id, "reason", reason)
-	for i := range j.Spec().Items() {
+	items, tokens := 0, 0
+	for i, item := range j.Spec().Items() {
 		if j.IsWaiting(i) {
+			items, tokens = items+1, tokens+item.Tokens()
 			w.outputs = append(w.outputs, batch.NewFinalItemOutput(id, batch.NewResult(i, batch.ItemDeadLettered, nil), 0))
 		}
 	}
+	event.JobAbandoned.Log(w.logger, "job", id, "reason", reason, "items", items, "tokens", tokens)
 	w.Drop(id)
 }
 
@@ -228,9 +231,11 @@
 	}
 	w.lastAttempt++
 	counter := progress.New()
-	w.running.Put(w.lastAttempt, runningRow{key: key, backend: backend.ID(), started: now, afterEvent: lastEvent, leadershipEpoch: w.leadershipEpoch,
+	w.running.Put(w.lastAttempt, runningRow{key: key, backend: backend.ID(), tokens: item.Tokens(), started: now, afterEvent: lastEvent, leadershipEpoch: w.leadershipEpoch,
 		idleTimer: progress.NewIdleTimer(counter)})
 	w.runningItems[backend.ID()]++
+	event.ItemAttemptStarted.Log(w.logger, "job", spec.ID(), "item", i, "backend", backend.ID(), "tokens", item.Tokens(), "after_event", lastEvent,
+		"due_ms", row.due.Sub(now).Milliseconds(), "late", w.estimate.isLate(now, row.due, 0))
 	w.startAttempt(Attempt{number: w.lastAttempt, job: spec.ID(), host: spec.Host(), item: item, backend: backend, lastEvent: lastEvent, counter: counter})
 	return true
 }
--- a/core/runner/system_receive.go
+++ b/core/runner/system_receive.go
@@ -21,13 +21,13 @@
 		return
 	}
 	sameEpoch := row.leadershipEpoch == w.leadershipEpoch
-	w.attemptEnded(report.status, now.Sub(row.started))
+	w.attemptEnded(report.status, row.tokens, now.Sub(row.started))
 	w.running.Remove(report.number)
 	w.changed = true
 	if w.runningItems[backend]--; w.runningItems[backend] <= 0 {
 		delete(w.runningItems, backend)
 	}
-	event.ItemAttemptEnded.Log(w.logger, "job", key.job, "item", key.item, "backend", backend, "end", report.status.String(),
+	event.ItemAttemptEnded.Log(w.logger, "job", key.job, "item", key.item, "backend", backend, "end", report.status.String(), "tokens", row.tokens,
 		"ran_ms", now.Sub(row.started).Milliseconds(), "last_event", report.lastEvent)
 	if row.stalled && report.status == AttemptStopped {
 		report.status = AttemptInterrupted
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -38,7 +38,7 @@
 	startAttempt func(Attempt)
 	stopAttempt  func(number uint64)
 	random       func() float64
-	attemptEnded func(AttemptStatus, time.Duration)
+	attemptEnded func(status AttemptStatus, tokens int, duration time.Duration)
 
 	leading         bool
 	leadershipEpoch uint64 // incremented whenever leadership starts or ends
@@ -86,9 +86,9 @@
 // WithRandom sets the source of random numbers in [0, 1).
 func WithRandom(random func() float64) Option { return func(w *World) { w.random = random } }
 
-// WithObserver sets the function that is called with the status and the run time of each
-// ended attempt.
-func WithObserver(ended func(AttemptStatus, time.Duration)) Option {
+// WithObserver sets the function that is called for each ended attempt with its status, the
+// size of the item in tokens and the run time.
+func WithObserver(ended func(status AttemptStatus, tokens int, duration time.Duration)) Option {
 	return func(w *World) { w.attemptEnded = ended }
 }
 
@@ -97,7 +97,7 @@
 	w := &World{
 		logger:       slog.New(slog.DiscardHandler),
 		startAttempt: func(Attempt) {}, stopAttempt: func(uint64) {},
-		random: func() float64 { return 0 }, onlineRequests: func(string) int { return 0 }, attemptEnded: func(AttemptStatus, time.Duration) {},
+		random: func() float64 { return 0 }, onlineRequests: func(string) int { return 0 }, attemptEnded: func(AttemptStatus, int, time.Duration) {},
 		acceptedAt: make(map[string]time.Time),
 		jobs:       table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
 		running: table.New[uint64, runningRow](), backoffs: table.New[string, backoffRow](),
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,6 +15,12 @@
 // histogramBuckets is the number of buckets of each expvar histogram.
 const histogramBuckets = 50
 
+// Buckets of the sizes of batch items.
+const (
+	sizeBucketTokens = 256
+	maxSizeTokens    = 8192 // larger items are counted in the last bucket
+)
+
 // counters is a family of counters. Each is created at the first event with its
 // label.
 type counters struct {
@@ -45,6 +52,7 @@
 	requests    *counters // by outcome
 	attempts    *counters // by status
 	items       *counters // attempts of batch items by status
+	itemSizes   *counters // attempts of batch items by status and size
 	calls       *counters // calls of front ends by kind and outcome
 	headerTime  kitmetrics.Histogram
 	requestTime kitmetrics.Histogram
@@ -56,7 +64,7 @@
 var metrics = sync.OnceValue(func() *metricSet {
 	return &metricSet{
 		requests: newCounters("fleet_requests_"), attempts: newCounters("fleet_attempts_"),
-		items: newCounters("fleet_items_"), calls: newCounters("fleet_calls_"),
+		items: newCounters("fleet_items_"), itemSizes: newCounters("fleet_item_sizes_"), calls: newCounters("fleet_calls_"),
 		headerTime:  expvar.NewHistogram("fleet_first_ms", histogramBuckets),
 		requestTime: expvar.NewHistogram("fleet_request_ms", histogramBuckets),
 		itemTime:    expvar.NewHistogram("fleet_item_ms", histogramBuckets),
@@ -80,13 +88,20 @@
 // attemptEnded counts an ended attempt.
 func (m *metricSet) attemptEnded(status entry.AttemptStatus) { m.attempts.add(status.String()) }
 
-// itemAttemptEnded counts an ended attempt of a batch item and records its
-// duration.
-func (m *metricSet) itemAttemptEnded(status runner.AttemptStatus, duration time.Duration) {
+// itemAttemptEnded counts an ended attempt of a batch item with the given number of
+// tokens and records its duration.
+func (m *metricSet) itemAttemptEnded(status runner.AttemptStatus, tokens int, duration time.Duration) {
 	m.items.add(status.String())
+	m.itemSizes.add(status.String() + " " + sizeBucket(tokens))
 	m.itemTime.Observe(millis(duration))
 }
 
+// sizeBucket returns the label of the bucket for a number of tokens: its upper bound.
+func sizeBucket(tokens int) string {
+	bucket := (tokens + sizeBucketTokens - 1) / sizeBucketTokens * sizeBucketTokens
+	return strconv.Itoa(min(bucket, maxSizeTokens))
+}
+
 // callEnded counts a call of a front end and records its duration.
 func (m *metricSet) callEnded(kind string, err error, duration time.Duration) {
 	outcome := "ok"
