Interrupted items are judged late by what is left of them

Cause: the order of the waiting work and the choice of the item to preempt judged lateness by the job, or by the progress at the start of the attempt. A preempted item whose job was due sooner than a whole average item takes waited behind all newer jobs, even with two events left. Large items are caught most, since they run longest. Ruled out: run time for each event (51 to 56 ms for all sizes); size of the prompt. Change: the queue holds interrupted items one by one, each judged by its own progress; a running item is judged by the event that it is expected to have reached. Placement, due order and pauses stay. Test: TestInterruptedItemGoesOn failed before in its case "little left".

--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -99,6 +99,7 @@
 	due               time.Time
 	expiry            time.Time
 	maxAttempts       int
+	itemCount         int
 	nextItem          int       // first item that was not started yet
 	restartItems      []int     // items to start again before the others
 	routeMissingSince time.Time // zero while the route exists
--- a/core/runner/estimate.go
+++ b/core/runner/estimate.go
@@ -44,3 +44,9 @@
 func (e *estimate) isLate(now, due time.Time, lastEvent uint64) bool {
 	return now.Add(time.Duration(interruptionFactor * float64(e.remaining(lastEvent)))).After(due)
 }
+
+// eventsIn returns the number of events that an attempt is expected to produce in a
+// duration.
+func (e *estimate) eventsIn(d time.Duration) uint64 {
+	return uint64(max(d, 0) / max(e.perEvent, minTimePerEvent))
+}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -240,6 +240,31 @@
 	r.c.Assert(order, qt.DeepEquals, []string{"job", "latest", "sooner"})
 }
 
+// TestInterruptedItemGoesOn guards against interrupted items that wait behind new jobs
+// although little is left of them.
+func TestInterruptedItemGoesOn(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		lastEvent uint64 // of the interrupted item
+		first     string // job that gets the slot
+	}{
+		{"little left", initialEventsPerItem - 10, "job"},
+		{"too much left", 10, "other"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRunner(t, 1, 1)
+			r.onlineRequests["b0"] = 3
+			r.tick(0)
+			r.tick(15 * time.Second)
+			r.report(r.started[0], AttemptStopped, "one", test.lastEvent)
+			r.submit("other", 1, time.Minute)
+			r.tick(time.Second)
+			r.c.Assert(r.started, qt.HasLen, 2)
+			r.c.Assert(r.started[1].Job(), qt.Equals, test.first)
+		})
+	}
+}
+
 // TestExpiry checks that waiting items are dead-lettered after the expiry of their job
 // and not before.
 func TestExpiry(t *testing.T) {
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	event.ItemPreempted.Log(w.logger, "job", victim.key.job, "item", victim.key.item, "backend", backend,
-		"online", w.onlineRequests(backend), "batch", w.runningItems[backend], "tokens", victim.tokens, "after_event", victim.afterEvent,
+		"online", w.onlineRequests(backend), "batch", w.runningItems[backend], "tokens", victim.tokens, "event_expected", w.expectedEvent(now, victim),
 		"ran_ms", now.Sub(victim.started).Milliseconds())
 	w.preemptedAt.Put(backend, now)
 	w.requestStop(victimNumber, victim)
@@ -66,7 +66,8 @@
 	if job == nil || otherJob == nil {
 		return job == nil
 	}
-	late, otherLate := w.estimate.isLate(now, job.due, row.afterEvent), w.estimate.isLate(now, otherJob.due, other.afterEvent)
+	late := w.estimate.isLate(now, job.due, w.expectedEvent(now, row))
+	otherLate := w.estimate.isLate(now, otherJob.due, w.expectedEvent(now, other))
 	if late != otherLate {
 		return late
 	}
@@ -103,37 +104,28 @@
 	w.Drop(id)
 }
 
-// fill starts items in free slots, in order of the due times of their jobs. Jobs that
-// are expected to be late come after the others.
+// fill starts waiting items in free slots, in the order of the queue.
 func (w *World) fill(now time.Time) {
-	w.sortJobs(now)
 	free := w.freeSlots(now)
-	for _, id := range slices.Clone(w.jobOrder) {
-		row := w.jobs.Get(id)
-		if row == nil {
-			continue
-		}
+	if len(free) == 0 {
+		w.itemsWaiting = len(w.jobOrder) > 0
+		return
+	}
+	for _, entry := range w.queue(now) {
 		if len(free) == 0 {
 			w.itemsWaiting = true
 			return
 		}
-		w.fillJob(now, id, row, free)
-	}
-}
-
-// sortJobs sorts the jobs by due time, with the jobs that are expected to be late at the
-// end.
-func (w *World) sortJobs(now time.Time) {
-	late := func(id string) bool { return w.estimate.isLate(now, w.jobs.Get(id).due, 0) }
-	slices.SortStableFunc(w.jobOrder, func(a, b string) int {
-		if late(a) != late(b) {
-			if late(a) {
-				return 1
-			}
-			return -1
+		row := w.jobs.Get(entry.job)
+		j, ok := w.state.Job(entry.job)
+		switch {
+		case row == nil || !ok || w.config == nil:
+		case entry.interrupted:
+			w.restartItem(now, j, entry.item, row, free)
+		default:
+			w.startNewItems(now, j, row, free)
 		}
-		return w.jobs.Get(a).due.Compare(w.jobs.Get(b).due)
-	})
+	}
 }
 
 // freeSlots returns the number of items that may start on each server with free slots.
@@ -175,28 +167,23 @@
 	return headroomSlots, now.Sub(*at) < preemptionPause
 }
 
-// fillJob starts items of a job while slots are free.
-func (w *World) fillJob(now time.Time, id string, row *jobRow, free map[string]int) {
-	j, ok := w.state.Job(id)
-	if !ok || w.config == nil {
+// restartItem starts an interrupted item again if a slot is free and no pause after a
+// failure is left.
+func (w *World) restartItem(now time.Time, j batch.Job, item int, row *jobRow, free map[string]int) {
+	if p := w.progress.Get(itemKey{j.Spec().ID(), item}); p != nil && now.Before(p.retryAt) {
+		w.itemsWaiting = true
 		return
 	}
-	items := j.Spec().Items()
-	restartItems := row.restartItems
-	row.restartItems = nil
-	for n, i := range restartItems {
-		if p := w.progress.Get(itemKey{id, i}); p != nil && now.Before(p.retryAt) {
-			row.restartItems = append(row.restartItems, i)
-			w.itemsWaiting = true
-			continue
-		}
-		if !w.startItem(now, j, i, row, free) {
-			row.restartItems = append(row.restartItems, restartItems[n:]...)
-			w.itemsWaiting = true
-			return
-		}
+	if !w.startItem(now, j, item, row, free) {
+		w.itemsWaiting = true
+		return
 	}
-	for row.nextItem < len(items) {
+	row.restartItems = slices.DeleteFunc(row.restartItems, func(i int) bool { return i == item })
+}
+
+// startNewItems starts the items of a job that were not started yet while slots are free.
+func (w *World) startNewItems(now time.Time, j batch.Job, row *jobRow, free map[string]int) {
+	for row.nextItem < row.itemCount {
 		if j.IsWaiting(row.nextItem) && !w.startItem(now, j, row.nextItem, row, free) {
 			w.itemsWaiting = true
 			return
@@ -225,17 +212,14 @@
 		delete(free, backend.ID())
 	}
 	key := itemKey{spec.ID(), i}
-	lastEvent := uint64(0)
-	if p := w.progress.Get(key); p != nil {
-		lastEvent = p.lastEvent
-	}
+	lastEvent := w.lastEvent(key)
 	w.lastAttempt++
 	counter := progress.New()
 	w.running.Put(w.lastAttempt, runningRow{key: key, backend: backend.ID(), tokens: item.Tokens(), started: now, afterEvent: lastEvent, leadershipEpoch: w.leadershipEpoch,
 		idleTimer: progress.NewIdleTimer(counter)})
 	w.runningItems[backend.ID()]++
 	event.ItemAttemptStarted.Log(w.logger, "job", spec.ID(), "item", i, "backend", backend.ID(), "tokens", item.Tokens(), "after_event", lastEvent,
-		"due_ms", row.due.Sub(now).Milliseconds(), "late", w.estimate.isLate(now, row.due, 0))
+		"due_ms", row.due.Sub(now).Milliseconds(), "late", w.estimate.isLate(now, row.due, lastEvent))
 	w.startAttempt(Attempt{number: w.lastAttempt, job: spec.ID(), host: spec.Host(), item: item, backend: backend, lastEvent: lastEvent, counter: counter})
 	return true
 }
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -55,7 +55,7 @@
 	preemptedAt     *table.Table[string, time.Time] // last preemption, by server
 	outputs         []batch.ItemOutput
 	lastAttempt     uint64
-	jobOrder        []string // jobs by due time, late ones at the end
+	jobOrder        []string // jobs in the order in which they were accepted
 	estimate        estimate
 	nextExpire      time.Time
 	nextIdleCheck   time.Time // next check for stalled attempts
@@ -145,7 +145,7 @@
 		return
 	}
 	at := w.acceptedAt[spec.ID()]
-	row := jobRow{due: at.Add(spec.Due().Sub(spec.Submitted())), maxAttempts: max(spec.MaxAttempts(), 1)}
+	row := jobRow{itemCount: len(spec.Items()), due: at.Add(spec.Due().Sub(spec.Submitted())), maxAttempts: max(spec.MaxAttempts(), 1)}
 	if !spec.Expiry().IsZero() {
 		row.expiry = at.Add(spec.Expiry().Sub(spec.Submitted()) + expiryMargin)
 	}
