Items that were not started yet are judged late by the size of a large item

Cause: an item started if an average one could be complete in time. In an overload all items of a job start at about the same time, so the average ones fit and the large ones do not; they take slots and are late. Change: an unstarted item counts as late unless one that exceeds the average by two standard deviations of the finished items would be in time. TestInterruptedItemGoesOn: the other job is due later, as its items are judged larger.

--- a/core/runner/estimate.go
+++ b/core/runner/estimate.go
@@ -1,10 +1,15 @@
 package runner
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Initial values and parameters of the estimate.
 const (
 	initialEventsPerItem = 150                   // events per item
+	initialDeviation     = 40                    // standard deviation of the events per item
+	largeDeviations      = 2                     // standard deviations by which a large item exceeds the average
 	initialItemTime      = 6 * time.Second       // run time of an item without interruption
 	sampleWeight         = 0.1                   // weight of the newest sample in the moving averages
 	interruptionFactor   = 1.4                   // on the expected run time, since online requests interrupt items
@@ -14,12 +19,13 @@
 // estimate predicts how long items run.
 type estimate struct {
 	events   float64       // moving average of events per item
+	variance float64       // moving average of its squared deviation
 	perEvent time.Duration // moving average of the time per event
 }
 
 // newEstimate returns the estimate before any item has run.
 func newEstimate() estimate {
-	return estimate{events: initialEventsPerItem, perEvent: initialItemTime / initialEventsPerItem}
+	return estimate{events: initialEventsPerItem, variance: initialDeviation * initialDeviation, perEvent: initialItemTime / initialEventsPerItem}
 }
 
 // record adds an attempt that received the given number of events. lastEvent is the
@@ -30,7 +36,9 @@
 		e.perEvent += time.Duration(sampleWeight * float64(perEvent-e.perEvent))
 	}
 	if done {
-		e.events += sampleWeight * (float64(lastEvent) - e.events)
+		deviation := float64(lastEvent) - e.events
+		e.events += sampleWeight * deviation
+		e.variance += sampleWeight * (deviation*deviation - e.variance)
 	}
 }
 
@@ -45,6 +53,14 @@
 	return now.Add(time.Duration(interruptionFactor * float64(e.remaining(lastEvent)))).After(due)
 }
 
+// mayBeLate reports whether an item that was not started yet may miss its due time. It
+// assumes a large item, since the size is known only at the end. With an average one,
+// large items would start that cannot be complete in time.
+func (e *estimate) mayBeLate(now, due time.Time) bool {
+	events := e.events + largeDeviations*math.Sqrt(e.variance)
+	return now.Add(time.Duration(interruptionFactor * events * float64(e.perEvent))).After(due)
+}
+
 // eventsIn returns the number of events that an attempt is expected to produce in a
 // duration.
 func (e *estimate) eventsIn(d time.Duration) uint64 {
--- a/core/runner/system_order.go
+++ b/core/runner/system_order.go
@@ -27,7 +27,7 @@
 			entries = append(entries, queueEntry{job: id, item: item, interrupted: true, due: row.due, late: late})
 		}
 		if row.nextItem < row.itemCount {
-			entries = append(entries, queueEntry{job: id, due: row.due, late: w.estimate.isLate(now, row.due, 0)})
+			entries = append(entries, queueEntry{job: id, due: row.due, late: w.estimate.mayBeLate(now, row.due)})
 		}
 	}
 	slices.SortStableFunc(entries, func(a, b queueEntry) int {
