Parts of prompts that crash backend servers are quarantined on all instances

Cause: an entry forgot a lost request when it ended, and no instance knew the crashes that others saw. Ruled out: the entries' own attempts (the route allows one); a reject by route, caller or first part (sound requests share them); a durable ledger of evidence (evidence of seconds ago needs no disk; all holders repeat it to a restarted control instance); evidence by the leader of the jobs ledger (gone for seconds at a failover); fields in the polls (instances of older builds could not read them); trial requests after a quarantine (they crash servers). Change: core/quarantine, a table of crashes that only grows and merges in any order. A request counts as suspect if no byte of its answer's body arrived and the server refuses connections. Answers that begin acquit their parts of the crashes known then. A crash is attributed to the most specific part that explains several, so first parts and bystanders stay usable. core/cluster exchanges the evidence between entry and control instances, core/entry rejects with 503 at once, events 403 to 406, metric fleet_quarantine.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -28,11 +28,12 @@
 	KindBody                     // the body of an item
 	KindRetire                   // empty an instance
 	KindRetired                  // whether an instance was emptied
+	KindEvidence                 // crashes of backend servers that one of the two instances does not know
 )
 
 // String returns the kind's name for logs and metrics.
 func (k Kind) String() string {
-	names := [...]string{"unknown", "propose", "follow", "usage", "collect", "document", "page", "body", "retire", "retired"}
+	names := [...]string{"unknown", "propose", "follow", "usage", "collect", "document", "page", "body", "retire", "retired", "evidence"}
 	if int(k) >= len(names) {
 		return names[0]
 	}
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -12,6 +12,7 @@
 	"papayaquay/core/directory"
 	"papayaquay/core/ledger"
 	"papayaquay/core/member"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/registry"
 	"papayaquay/core/routing"
 	"papayaquay/core/runner"
@@ -56,6 +57,7 @@
 		Batch: storedEncoding[batch.Command](v), BatchSnapshot: storedEncoding[BatchSnapshot](v),
 		PollRequest: storedEncoding[PollRequest](v), PollResponse: storedEncoding[PollResponse](v),
 		SyncRequest: storedEncoding[usage.SyncRequest](v), LoadUpdate: storedEncoding[LoadUpdate](v),
+		EvidenceRequest: storedEncoding[quarantine.SyncRequest](v), EvidenceUpdate: storedEncoding[quarantine.Update](v),
 		Query: storedEncoding[Query](v), Page: storedEncoding[batch.Page](v),
 	}
 }
--- a/core/cluster/codec.go
+++ b/core/cluster/codec.go
@@ -6,6 +6,7 @@
 	"papayaquay/core/batch"
 	"papayaquay/core/directory"
 	"papayaquay/core/ledger"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/registry"
 	"papayaquay/core/usage"
 )
@@ -135,16 +136,18 @@
 
 // Codec holds the encodings of messages between instances and of stored state.
 type Codec struct {
-	Registry      Encoding[registry.Command]
-	RegistryState Encoding[*registry.State]
-	Batch         Encoding[batch.Command]
-	BatchSnapshot Encoding[BatchSnapshot]
-	PollRequest   Encoding[PollRequest]
-	PollResponse  Encoding[PollResponse]
-	SyncRequest   Encoding[usage.SyncRequest]
-	LoadUpdate    Encoding[LoadUpdate]
-	Query         Encoding[Query]
-	Page          Encoding[batch.Page]
+	Registry        Encoding[registry.Command]
+	RegistryState   Encoding[*registry.State]
+	Batch           Encoding[batch.Command]
+	BatchSnapshot   Encoding[BatchSnapshot]
+	PollRequest     Encoding[PollRequest]
+	PollResponse    Encoding[PollResponse]
+	SyncRequest     Encoding[usage.SyncRequest]
+	LoadUpdate      Encoding[LoadUpdate]
+	EvidenceRequest Encoding[quarantine.SyncRequest]
+	EvidenceUpdate  Encoding[quarantine.Update]
+	Query           Encoding[Query]
+	Page            Encoding[batch.Page]
 }
 
 // BatchSnapshot is the content of a snapshot of the jobs ledger.
--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -3,6 +3,7 @@
 import (
 	"papayaquay/core/call"
 	"papayaquay/core/member"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/runner"
 	"papayaquay/core/usage"
 )
@@ -17,6 +18,8 @@
 	leave          *member.Backend
 	attempt        *runner.AttemptReport
 	usage          *usage.Report
+	crash          *quarantine.Crash
+	acquitted      []quarantine.Part
 	seeds          []string
 	reportTransfer func(leading int)
 	work           func()
@@ -44,6 +47,12 @@
 // UsageChanged reports the online requests that this entry instance runs.
 func UsageChanged(r usage.Report) Input { return Input{usage: &r} }
 
+// ServerCrashed reports a crash of a backend server under requests of this instance.
+func ServerCrashed(c quarantine.Crash) Input { return Input{crash: &c} }
+
+// AnswerBegan reports that an answer began on suspect parts.
+func AnswerBegan(parts []quarantine.Part) Input { return Input{acquitted: parts} }
+
 // SeedsChanged replaces the peer addresses of the seeds.
 func SeedsChanged(addresses []string) Input { return Input{seeds: addresses} }
 
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -31,6 +31,12 @@
 		w.jobs.runner.Receive(now, *input.attempt)
 	case input.usage != nil:
 		w.loadReporter.setReport(*input.usage)
+	case input.crash != nil && w.quarantine != nil:
+		w.quarantine.Report(now, *input.crash)
+	case len(input.acquitted) > 0 && w.quarantine != nil:
+		for _, part := range input.acquitted {
+			w.quarantine.Acquit(now, part)
+		}
 	case input.seeds != nil:
 		w.seeds, w.controlList, w.contactPointsVersion = input.seeds, nil, 0
 	case input.reportTransfer != nil:
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -25,6 +25,8 @@
 		w.serveCollect(now, requester, r.Payload())
 	case call.KindPage, call.KindBody:
 		w.serveQuery(now, requester, r)
+	case call.KindEvidence:
+		w.serveEvidence(now, requester, r)
 	case call.KindRetire, call.KindRetired:
 		w.serveRetire(now, requester, r)
 	}
--- a/core/cluster/snapshot.go
+++ b/core/cluster/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"papayaquay/core/directory"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/routing"
 	"papayaquay/core/usage"
 )
@@ -9,17 +10,18 @@
 // Snapshot is the state of the control world for the traffic thread and the
 // front ends. It never changes.
 type Snapshot struct {
-	config  *routing.Config
-	servers []directory.Server
-	loads   Loads
-	stores  []directory.Instance
-	ready   bool
+	config     *routing.Config
+	servers    []directory.Server
+	loads      Loads
+	stores     []directory.Instance
+	ready      bool
+	quarantine *quarantine.View
 }
 
 // NewSnapshot returns a snapshot; config is nil if no configuration has arrived
 // yet.
 func NewSnapshot(config *routing.Config, servers []directory.Server, loads Loads) *Snapshot {
-	return &Snapshot{config: config, servers: servers, loads: loads}
+	return &Snapshot{config: config, servers: servers, loads: loads, quarantine: quarantine.NewView(nil)}
 }
 
 // Config returns the configuration in force, or nil if none has arrived yet.
@@ -39,3 +41,13 @@
 
 // Ready reports whether the instance can serve callers.
 func (s *Snapshot) Ready() bool { return s.ready }
+
+// Quarantine returns the parts of prompts whose requests are rejected.
+func (s *Snapshot) Quarantine() *quarantine.View { return s.quarantine }
+
+// WithQuarantine returns a copy of the snapshot with other quarantined parts.
+func (s *Snapshot) WithQuarantine(view *quarantine.View) *Snapshot {
+	changed := *s
+	changed.quarantine = view
+	return &changed
+}
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -7,6 +7,7 @@
 	"papayaquay/core/call"
 	"papayaquay/core/directory"
 	"papayaquay/core/ledger"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/registry"
 	"papayaquay/core/routing"
 	"papayaquay/core/runner"
@@ -47,6 +48,8 @@
 	jobs         *jobsHost
 	loadReporter *loadReporter
 	readiness    *readiness
+	quarantine   *quarantine.World // nil at store instances
+	evidence     *evidenceExchange
 	servers      *serverList
 	outbox       *outbox
 
@@ -114,7 +117,7 @@
 		persist: func(uint64, []ledger.Record) {}, send: func(Packet) {}, publish: func(*Snapshot) {},
 		background: func(work func()) { work() }, post: func(Input) {},
 		ledgers: ledger.New(self.Address()),
-		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()),
+		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()),
 		snapshotStale: true, now: now, wallClock: func() time.Time { return now },
 	}
 	for _, option := range options {
@@ -127,6 +130,7 @@
 		upstreamLimit, directoryOptions = 0, append(directoryOptions, directory.WithAnnouncements())
 	}
 	w.directory = directory.New(self.Incarnation(), directoryOptions...)
+	w.quarantine = w.newQuarantine()
 	w.calls = call.NewWorld(w.locate)
 	w.upstreams = newUpstreams(self.Address(), upstreamLimit, w.logger)
 	w.upstreams.poll, w.upstreams.forget = w.pollUpstream, w.directory.RemoveUpstream
@@ -145,6 +149,7 @@
 	w.upstreams.run(now, w.controls())
 	w.runJobs(now)
 	w.runLoadReporter(now)
+	w.runQuarantine(now)
 	w.calls.Run(now)
 	w.sendCalls(now)
 	w.runLedgers(now)
@@ -244,6 +249,7 @@
 	consider(w.calls.Next())
 	consider(w.polls.next())
 	consider(w.loadReporter.next())
+	consider(w.nextEvidence())
 	if w.jobs != nil {
 		consider(w.jobs.next(w.now))
 	}
@@ -263,6 +269,9 @@
 	s := NewSnapshot(w.config, w.servers.list(now, w.directory), w.loadReporter.loads)
 	w.readiness.update(now, w.config != nil, len(s.servers))
 	s.ready = w.readiness.ready
+	if w.quarantine != nil {
+		s.quarantine = w.quarantine.View()
+	}
 	s.stores = w.directory.Instances(directory.RoleStore)
 	w.publish(s)
 }
--- a/core/entry/input.go
+++ b/core/entry/input.go
@@ -1,6 +1,9 @@
 package entry
 
-import "papayaquay/core/progress"
+import (
+	"papayaquay/core/progress"
+	"papayaquay/core/quarantine"
+)
 
 // Input is one input of a tick.
 type Input struct {
@@ -14,6 +17,9 @@
 	header   bool
 	probed   string // ID of the probed server
 	reached  bool
+	began    bool
+	check    *quarantine.CrashID
+	crashed  bool
 }
 
 // Submit starts a request. decide is called on the traffic thread with each
@@ -38,5 +44,14 @@
 // ProbeEnded reports whether a probe opened a connection to a server.
 func ProbeEnded(backend string, reached bool) Input { return Input{probed: backend, reached: reached} }
 
+// AnswerBegan reports that the first bytes of the body of the current attempt's answer
+// arrived.
+func AnswerBegan(number uint64) Input { return Input{number: number, began: true} }
+
+// CrashChecked reports whether a server that lost a request refuses connections.
+func CrashChecked(id quarantine.CrashID, crashed bool) Input {
+	return Input{check: &id, crashed: crashed}
+}
+
 // SnapshotChanged reports that the control world published a new snapshot.
 func SnapshotChanged() Input { return Input{} }
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -10,6 +10,7 @@
 
 	"papayaquay/core/member"
 	"papayaquay/core/progress"
+	"papayaquay/core/quarantine"
 )
 
 // Request is the part of an online request that routing needs.
@@ -22,6 +23,7 @@
 	arrived       time.Time
 	deadline      time.Time
 	reserveTokens int
+	sharedParts   quarantine.Prompt
 }
 
 // RequestOption sets optional fields of a request.
@@ -31,6 +33,11 @@
 // given number of tokens.
 func WithReservation(tokens int) RequestOption { return func(r *Request) { r.reserveTokens = tokens } }
 
+// WithSharedParts sets the parts of the prompt that other requests share.
+func WithSharedParts(parts quarantine.Prompt) RequestOption {
+	return func(r *Request) { r.sharedParts = parts }
+}
+
 // NewRequest returns a request for a service. id is the caller's id and is only
 // logged. A retryable request may run more than once. A resumable request may
 // continue on another server after a part of its answer was sent. maxAttempts is
@@ -154,6 +161,8 @@
 	startedAttempts int                // attempts that may have run
 	rejections      int                // rejected reservations
 	backend         string             // of the current attempt
+	incarnation     uint64             // of the server of the current attempt
+	answerBegan     bool               // a part of the answer's body arrived
 	sentAt          time.Time
 	headerAt        time.Time     // when the newest response header arrived
 	stallTimeout    time.Duration // time without bytes after which the attempt counts as stalled
--- /dev/null
+++ b/core/entry/system_crash_test.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"papayaquay/core/cluster"
+	"papayaquay/core/progress"
+	"papayaquay/core/quarantine"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestCrashEvidence checks which lost requests an entry instance reports as the possible
+// cause of a crash: those whose answers had not begun, on a server that refuses
+// connections.
+func TestCrashEvidence(t *testing.T) {
+	prompt := quarantine.Prompt{"s/1", "s/2"}
+	for _, test := range []struct {
+		name    string
+		prompt  quarantine.Prompt
+		header  bool
+		began   bool
+		status  AttemptStatus
+		refuses bool
+		reports bool
+	}{
+		{"before the header", prompt, false, false, AttemptLost, true, true},
+		{"after the header, before the body", prompt, true, false, AttemptInterrupted, true, true},
+		{"after a part of the body", prompt, true, true, AttemptInterrupted, true, false},
+		{"server still accepts connections", prompt, true, false, AttemptInterrupted, false, false},
+		{"no shared parts", nil, false, false, AttemptLost, true, false},
+		{"not sent", prompt, false, false, AttemptUnreachable, true, false},
+		{"answered", prompt, true, true, AttemptAnswered, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newTestEntry(t, 2, cluster.Loads{})
+			var checked []quarantine.CrashID
+			var reported []quarantine.Crash
+			WithQuarantine(func(id quarantine.CrashID, address string) {
+				e.c.Check(address, qt.Equals, id.Backend()+":1")
+				checked = append(checked, id)
+			}, func(c quarantine.Crash) { reported = append(reported, c) }, func([]quarantine.Part) {})(e.world)
+			e.submitPrompt(test.prompt)
+			number := e.last().Number()
+			backend := e.last().Backend()
+			if test.header {
+				e.step(0, HeaderReceived(number, LoadReport{}))
+			}
+			if test.began {
+				e.step(0, AnswerBegan(number))
+			}
+			e.step(0, AttemptEnded(number, test.status, LoadReport{}))
+			for _, id := range checked {
+				e.step(0, CrashChecked(id, test.refuses))
+			}
+			if !test.reports {
+				e.c.Assert(reported, qt.HasLen, 0)
+				return
+			}
+			e.c.Assert(reported, qt.HasLen, 1)
+			e.c.Assert(reported[0].ID(), qt.Equals, quarantine.NewCrashID(backend.ID(), backend.Incarnation()))
+			e.c.Assert(reported[0].Suspects(), qt.DeepEquals, []quarantine.Prompt{prompt})
+		})
+	}
+}
+
+// TestQuarantinedRequestIsRejected checks that a request with a quarantined part reaches
+// no server, not even in a second attempt, and that an answer that begins on a suspect
+// part is reported.
+func TestQuarantinedRequestIsRejected(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		prompt quarantine.Prompt
+		action Action // for a new request
+		later  Action // for one that was lost on a server before the part was quarantined
+		began  []quarantine.Part
+	}{
+		{"deadly part", quarantine.Prompt{"s/first", "s/deadly"}, ActionReject, ActionFail, nil},
+		{"same first part", quarantine.Prompt{"s/first", "s/sound"}, ActionSend, ActionSend, []quarantine.Part{"s/first"}},
+		{"no parts", nil, ActionSend, ActionSend, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newTestEntry(t, 3, cluster.Loads{})
+			var began []quarantine.Part
+			WithQuarantine(func(quarantine.CrashID, string) {}, func(quarantine.Crash) {},
+				func(parts []quarantine.Part) { began = append(began, parts...) })(e.world)
+			e.submitPrompt(test.prompt)
+			number := e.last().Number()
+			evidence := quarantine.New(1)
+			for _, backend := range []string{"x0", "x1", "x2"} {
+				evidence.Report(e.now, quarantine.NewCrash(quarantine.NewCrashID(backend, 1), 0, []quarantine.Prompt{{"s/first", "s/deadly"}}, nil))
+			}
+			evidence.Run(e.now.Add(2 * time.Second))
+			e.snapshot = e.snapshot.WithQuarantine(evidence.View())
+			e.step(0, AttemptEnded(number, AttemptLost, LoadReport{}))
+			e.c.Assert(e.last().Action(), qt.Equals, test.later)
+			if test.later == ActionSend {
+				e.step(0, AnswerBegan(number))
+				e.c.Assert(began, qt.DeepEquals, test.began)
+			}
+			e.submitPrompt(test.prompt)
+			e.c.Assert(e.last().Action(), qt.Equals, test.action)
+		})
+	}
+}
+
+// submitPrompt submits a request that may run twice, with the given shared parts.
+func (e *testEntry) submitPrompt(prompt quarantine.Prompt) {
+	r := NewRequest("r", "s", true, false, 2, e.now, e.now.Add(5*time.Second), WithSharedParts(prompt))
+	e.step(0, Submit(r, progress.New(), func(d Decision) { e.decisions = append(e.decisions, d) }, func() {}))
+}
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -20,7 +20,7 @@
 	w.observeAttempt(input.status)
 	if input.status != AttemptAnswered {
 		event.AttemptFailed.Log(w.logger, "request", row.request.id, "backend", row.backend, "end", input.status.String(),
-			"failures", server.failures, "ms", now.Sub(row.sentAt).Milliseconds())
+			"began", row.answerBegan, "failures", server.failures, "ms", now.Sub(row.sentAt).Milliseconds())
 	}
 	switch input.status {
 	case AttemptAnswered, AttemptCallerGone:
@@ -34,6 +34,7 @@
 		row.rejections++
 	case AttemptLost, AttemptInterrupted:
 		row.startedAttempts++
+		w.suspectCrash(row)
 		partial := input.status == AttemptInterrupted && !row.request.resumable
 		if partial || !row.request.retryable || row.startedAttempts >= row.request.maxAttempts {
 			w.endUnanswered(now, input.number, row, "answer "+input.status.String(), 0)
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -8,6 +8,7 @@
 	"papayaquay/core/cluster"
 	"papayaquay/core/event"
 	"papayaquay/core/progress"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/table"
 	"papayaquay/core/usage"
 )
@@ -39,10 +40,14 @@
 	probe          func(backend, address string)
 	observeRequest func(outcome string, headerDelay, total time.Duration)
 	observeAttempt func(AttemptStatus)
+	checkCrash     func(id quarantine.CrashID, address string)
+	reportCrash    func(quarantine.Crash)
+	acquit         func([]quarantine.Part)
 	dataCentre     string
 
 	requests           *table.Table[uint64, requestRow]
 	servers            *table.Table[string, serverRow]
+	crashChecks        *table.Table[quarantine.CrashID, crashCheckRow]
 	lastNumber         uint64
 	inFlightChanged    bool // the number of requests in flight changed in this tick
 	nextWatch          time.Time
@@ -86,7 +91,8 @@
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
-		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), dataCentreProbedAt: make(map[string]time.Time),
+		checkCrash: func(quarantine.CrashID, string) {}, reportCrash: func(quarantine.Crash) {}, acquit: func([]quarantine.Part) {},
+		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
 		option(w)
@@ -103,6 +109,10 @@
 			w.admit(now, input)
 		case input.header:
 			w.recordHeader(now, input.number, input.load)
+		case input.began:
+			w.recordBegin(input.number)
+		case input.check != nil:
+			w.endCrashCheck(*input.check, input.crashed)
 		case input.status != 0:
 			w.endAttempt(now, input)
 		case input.probed != "":
@@ -160,6 +170,9 @@
 		w.endUnanswered(now, number, row, "deadline passed", 0)
 		return
 	}
+	if w.rejectQuarantined(now, number, row) {
+		return
+	}
 	choice, ok := w.choose(now, row)
 	if !ok {
 		w.endUnanswered(now, number, row, "no backend server", noServerRetry)
@@ -175,6 +188,7 @@
 	server.dataCentre, server.address = backend.DataCentre(), backend.Address()
 	w.inFlightChanged = true
 	row.backend, row.sentAt, row.abandoned, row.stallTimeout = backend.ID(), now, false, stalledAfter
+	row.incarnation, row.answerBegan = backend.Incarnation(), false
 	row.idle = progress.NewIdleTimer(row.progress)
 	if choice.online+choice.batch >= backend.Slots() {
 		row.stallTimeout = queuedStalledAfter
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -65,20 +65,24 @@
 
 // Events of requests and jobs.
 var (
-	AttemptFailed         = Event{400, slog.LevelInfo, "an attempt at a backend server failed"}
-	BackendLost           = Event{401, slog.LevelWarn, "a backend server was lost while it ran a request"}
-	PoisonRequestRejected = Event{402, slog.LevelWarn, "a request was rejected because it crashed backend servers"}
-	RequestEnded          = Event{410, slog.LevelInfo, "a request ended"}
-	AttemptStarted        = Event{411, slog.LevelInfo, "an attempt of a request started"}
-	ItemAttemptEnded      = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
-	ItemPreempted         = Event{421, slog.LevelInfo, "a batch item was preempted by an online request"}
-	JobAbandoned          = Event{422, slog.LevelWarn, "the waiting items of a job were abandoned"}
-	JobCallAnswered       = Event{423, slog.LevelInfo, "a call about a batch job was answered"}
-	RunnerChanged         = Event{424, slog.LevelInfo, "this instance started or stopped running batch items"}
-	ResultMismatch        = Event{425, slog.LevelWarn, "the result of an item did not continue its stored output"}
-	ItemStalled           = Event{426, slog.LevelWarn, "an attempt of a batch item was stopped because it made no progress"}
-	ItemAttemptStarted    = Event{427, slog.LevelInfo, "an attempt of a batch item started"}
-	ConfigApplied         = Event{500, slog.LevelDebug, "a configuration revision was applied"}
+	AttemptFailed              = Event{400, slog.LevelInfo, "an attempt at a backend server failed"}
+	BackendLost                = Event{401, slog.LevelWarn, "a backend server was lost while it ran a request"}
+	PoisonRequestRejected      = Event{402, slog.LevelWarn, "a request was rejected because it crashed backend servers"}
+	ServerCrashed              = Event{403, slog.LevelWarn, "requests were lost in a crash of a backend server"}
+	PartQuarantined            = Event{404, slog.LevelWarn, "a part of prompts was quarantined"}
+	QuarantineEnded            = Event{405, slog.LevelInfo, "the quarantine of a part of prompts ended"}
+	QuarantinedRequestRejected = Event{406, slog.LevelInfo, "a request was rejected because a part of its prompt is quarantined"}
+	RequestEnded               = Event{410, slog.LevelInfo, "a request ended"}
+	AttemptStarted             = Event{411, slog.LevelInfo, "an attempt of a request started"}
+	ItemAttemptEnded           = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
+	ItemPreempted              = Event{421, slog.LevelInfo, "a batch item was preempted by an online request"}
+	JobAbandoned               = Event{422, slog.LevelWarn, "the waiting items of a job were abandoned"}
+	JobCallAnswered            = Event{423, slog.LevelInfo, "a call about a batch job was answered"}
+	RunnerChanged              = Event{424, slog.LevelInfo, "this instance started or stopped running batch items"}
+	ResultMismatch             = Event{425, slog.LevelWarn, "the result of an item did not continue its stored output"}
+	ItemStalled                = Event{426, slog.LevelWarn, "an attempt of a batch item was stopped because it made no progress"}
+	ItemAttemptStarted         = Event{427, slog.LevelInfo, "an attempt of a batch item started"}
+	ConfigApplied              = Event{500, slog.LevelDebug, "a configuration revision was applied"}
 )
 
 // Events of operator calls and of instances that poll control instances.
@@ -98,7 +102,7 @@
 		DiskWriteFailed, LogTruncated, LogCorrupt, ReplicaCreated,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, PeerRejected,
-		AttemptFailed, BackendLost, PoisonRequestRejected,
+		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected,
 		RequestEnded, AttemptStarted, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
--- /dev/null
+++ b/core/quarantine/crash.go
@@ -0,0 +1,112 @@
+// Package quarantine finds the parts of prompts that crash backend servers. Requests
+// share parts of their prompts. If backend servers crash as they begin to answer requests
+// with the same part, new requests with this part are rejected, and others are not.
+//
+// The evidence is a table of crashes. Every instance that takes part holds it and merges
+// the rows of others: a row only grows, so the order of messages and their repetition do
+// not matter. Each instance derives the same verdicts from the same rows.
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Limits of a crash. Further prompts and parts are dropped.
+const (
+	maxPromptsPerCrash = 16
+	maxPartsPerPrompt  = 8
+)
+
+// Part identifies a shared part of the prompts of one service.
+type Part string
+
+// NewPart returns the part with the given id among the prompts of a service.
+func NewPart(service, id string) Part { return Part(service + "/" + id) }
+
+// Prompt is the list of the shared parts of one request, in their order.
+type Prompt []Part
+
+// CrashID identifies a crash: an incarnation of a backend server crashes once.
+type CrashID struct {
+	backend     string
+	incarnation uint64
+}
+
+// NewCrashID returns the id of the crash of an incarnation of a backend server.
+func NewCrashID(backend string, incarnation uint64) CrashID {
+	return CrashID{backend: backend, incarnation: incarnation}
+}
+
+// Backend returns the id of the backend server.
+func (c CrashID) Backend() string { return c.backend }
+
+// Incarnation returns the incarnation of the backend server.
+func (c CrashID) Incarnation() uint64 { return c.incarnation }
+
+// Crash is what is known about a crash. The requests whose answers had begun cannot have
+// caused it and are not listed.
+type Crash struct {
+	id        CrashID
+	age       time.Duration
+	suspects  []Prompt
+	acquitted []Part
+}
+
+// NewCrash returns a crash that happened age ago. suspects are the prompts of the
+// requests that it took whose answers had not begun; on the acquitted parts answers began
+// after the crash was known.
+func NewCrash(id CrashID, age time.Duration, suspects []Prompt, acquitted []Part) Crash {
+	return Crash{id: id, age: age, suspects: suspects, acquitted: acquitted}
+}
+
+// ID returns the id of the crash.
+func (c Crash) ID() CrashID { return c.id }
+
+// Age returns the time since the crash.
+func (c Crash) Age() time.Duration { return c.age }
+
+// Suspects returns the prompts of the requests that may have caused the crash.
+func (c Crash) Suspects() []Prompt { return c.suspects }
+
+// Acquitted returns the parts that cannot have caused the crash.
+func (c Crash) Acquitted() []Part { return c.acquitted }
+
+// crashRow is a crash in the table.
+type crashRow struct {
+	suspects     []Prompt
+	acquitted    []Part
+	happenedAt   time.Time
+	learnedAt    time.Time // when the crash became known here
+	version      uint64    // of the last change
+	localVersion uint64    // of the last change that was observed here
+}
+
+// merge adds what another instance knows about the crash and reports whether that was
+// new.
+func (r *crashRow) merge(c Crash) bool {
+	changed := false
+	for _, prompt := range c.suspects {
+		prompt = prompt[:min(len(prompt), maxPartsPerPrompt)]
+		known := slices.ContainsFunc(r.suspects, func(p Prompt) bool { return slices.Equal(p, prompt) })
+		if len(prompt) > 0 && !known && len(r.suspects) < maxPromptsPerCrash {
+			r.suspects, changed = append(r.suspects, prompt), true
+		}
+	}
+	for _, part := range c.acquitted {
+		if r.names(part) && !slices.Contains(r.acquitted, part) {
+			r.acquitted, changed = append(r.acquitted, part), true
+		}
+	}
+	return changed
+}
+
+// names reports whether a suspect prompt contains the part.
+func (r *crashRow) names(part Part) bool {
+	return slices.ContainsFunc(r.suspects, func(p Prompt) bool { return slices.Contains(p, part) })
+}
+
+// crash returns the row as a message.
+func (r *crashRow) crash(now time.Time, id CrashID) Crash {
+	return NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.acquitted))
+}
--- /dev/null
+++ b/core/quarantine/view.go
@@ -0,0 +1,61 @@
+package quarantine
+
+import "time"
+
+// Verdict says that requests with a part are rejected.
+type Verdict struct {
+	part     Part
+	crashes  int
+	backends []string
+	until    time.Time     // by the clock of the control thread
+	left     time.Duration // until then, when the verdict was made
+}
+
+// Part returns the rejected part.
+func (v Verdict) Part() Part { return v.part }
+
+// Crashes returns the number of crashes that the part explains.
+func (v Verdict) Crashes() int { return v.crashes }
+
+// Backends returns the ids of the first backend servers that crashed, at most
+// maxLoggedBackends.
+func (v Verdict) Backends() []string { return v.backends }
+
+// TimeLeft returns the time until the end of the verdict, from when it was made.
+func (v Verdict) TimeLeft() time.Duration { return v.left }
+
+// View holds the verdicts in force and the suspect parts. It never changes.
+type View struct {
+	verdicts []Verdict
+	suspects map[Part]bool
+}
+
+// NewView returns a view with the given verdicts and without suspect parts.
+func NewView(verdicts []Verdict) *View { return &View{verdicts: verdicts} }
+
+// Verdicts returns the verdicts in force.
+func (v *View) Verdicts() []Verdict { return v.verdicts }
+
+// Rejects returns the verdict on a prompt, if one of its parts is quarantined.
+func (v *View) Rejects(prompt Prompt) (Verdict, bool) {
+	for _, part := range prompt {
+		if verdict, ok := v.verdict(part); ok {
+			return verdict, true
+		}
+	}
+	return Verdict{}, false
+}
+
+// Suspect reports whether a part may have caused a known crash. An answer that begins on
+// it then matters.
+func (v *View) Suspect(part Part) bool { return v.suspects[part] }
+
+// verdict returns the verdict on a part.
+func (v *View) verdict(part Part) (Verdict, bool) {
+	for _, verdict := range v.verdicts {
+		if verdict.part == part {
+			return verdict, true
+		}
+	}
+	return Verdict{}, false
+}
--- /dev/null
+++ b/core/quarantine/world_test.go
@@ -0,0 +1,128 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// observation is one step of a test: a crash with suspect prompts, or an answer that
+// begins on a part.
+type observation struct {
+	suspects []Prompt
+	began    Part
+	after    time.Duration // since the step before
+}
+
+// crashes returns n crashes under the prompts that suspects returns.
+func crashes(n int, suspects func(n int) []Prompt) []observation {
+	var steps []observation
+	for i := range n {
+		steps = append(steps, observation{suspects: suspects(i), after: 50 * time.Millisecond})
+	}
+	return steps
+}
+
+// unique returns a part that no other prompt has.
+func unique(n int) Part { return Part(fmt.Sprint("unique", n)) }
+
+// TestDeadlyPartIsQuarantined guards against a part that crashes one backend server after
+// the other (BUDGET), and against the rejection of sound parts in the same prompts.
+func TestDeadlyPartIsQuarantined(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		steps    []observation
+		wait     time.Duration // before the verdicts are read
+		rejected []Part
+	}{
+		{"no crash", nil, time.Minute, nil},
+		{"two crashes", crashes(2, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), 2 * time.Second, nil},
+		{"deadly second part, one first part", crashes(3, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), 2 * time.Second, []Part{"deadly"}},
+		{"deadly second part, other first parts", crashes(3, func(n int) []Prompt { return []Prompt{{unique(n), "deadly"}} }), 2 * time.Second, []Part{"deadly"}},
+		{"sound requests beside it", crashes(4, func(n int) []Prompt { return []Prompt{{"first", unique(n)}, {"first", "deadly"}} }), 2 * time.Second, []Part{"deadly"}},
+		{"deadly first part", crashes(4, func(n int) []Prompt { return []Prompt{{"deadly", unique(n)}} }), 2 * time.Second, []Part{"deadly"}},
+		{"deadly first part, at once", crashes(3, func(n int) []Prompt { return []Prompt{{"deadly", unique(n)}} }), settleTime, nil},
+		{"two deadly parts under one first part", crashes(6, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("deadly", n%2))}} }), 2 * time.Second, []Part{"deadly0", "deadly1"}},
+		{"two deadly parts, few crashes", crashes(4, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("deadly", n%2))}} }), 2 * time.Second, nil},
+		{"answers began meanwhile", append(crashes(3, func(n int) []Prompt { return []Prompt{{"first", unique(n)}} }), observation{began: "first"}), 2 * time.Second, nil},
+		{"answers began before", append([]observation{{began: "deadly"}}, crashes(3, func(int) []Prompt { return []Prompt{{"first", "deadly"}} })...), 2 * time.Second, []Part{"deadly"}},
+		{"short quarantine over", crashes(3, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), shortQuarantine + time.Second, nil},
+		{"proven", crashes(5, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), shortQuarantine + time.Second, []Part{"deadly"}},
+		{"long quarantine over", crashes(5, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), longQuarantine + time.Second, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			w := New(1)
+			for n, s := range test.steps {
+				now = now.Add(s.after)
+				if s.began != "" {
+					w.Acquit(now, s.began)
+				} else {
+					w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, s.suspects, nil))
+				}
+				w.Run(now)
+			}
+			now = now.Add(test.wait)
+			w.Run(now)
+			var rejected []Part
+			for _, v := range w.View().Verdicts() {
+				rejected = append(rejected, v.Part())
+			}
+			c.Assert(rejected, qt.DeepEquals, test.rejected)
+			_, sound := w.View().Rejects(Prompt{"first", "sound"})
+			c.Assert(sound, qt.IsFalse)
+		})
+	}
+}
+
+// TestEvidenceOfManyInstances checks that instances that each saw one crash reach the
+// same verdict, in whatever order and how often they tell each other.
+func TestEvidenceOfManyInstances(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var worlds []*World
+	for n := range 5 {
+		w := New(uint64(n + 1))
+		w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"first", "deadly"}}, nil))
+		worlds = append(worlds, w)
+	}
+	for range 2 {
+		for _, from := range worlds {
+			for _, to := range worlds {
+				to.Merge(now, from.Since(now, 0))
+			}
+		}
+	}
+	now = now.Add(settleTime)
+	for _, w := range worlds {
+		w.Run(now)
+		verdict, ok := w.View().Rejects(Prompt{"other", "deadly"})
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(verdict.Crashes(), qt.Equals, 5)
+		c.Assert(w.LocalSince(now, w.LocalVersion()), qt.HasLen, 0)
+		version := w.Version()
+		w.Merge(now, worlds[0].Since(now, 0))
+		c.Assert(w.Version(), qt.Equals, version)
+	}
+}
+
+// TestBoundedTable checks that the number of crashes and of prompts is bounded.
+func TestBoundedTable(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	w := New(1)
+	for n := range 3 * maxCrashes {
+		w.Report(now.Add(time.Duration(n)*time.Millisecond), NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"a", unique(n)}}, nil))
+	}
+	for n := range 3 * maxPromptsPerCrash {
+		w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", 3*maxCrashes-1), 1), 0, []Prompt{{"a", unique(n)}}, nil))
+	}
+	all := w.Since(now, 0)
+	c.Assert(all, qt.HasLen, maxCrashes)
+	for _, crash := range all {
+		c.Assert(len(crash.Suspects()) <= maxPromptsPerCrash, qt.IsTrue)
+	}
+}
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -111,7 +111,8 @@
 		}
 		slot = reservation.Slot()
 	}
-	return relay.Try(ctx, d.Backend(), slot, func(l entry.LoadReport) { p.traffic.Post(entry.HeaderReceived(d.Number(), l)) })
+	return relay.Try(ctx, d.Backend(), slot, func(l entry.LoadReport) { p.traffic.Post(entry.HeaderReceived(d.Number(), l)) },
+		func() { p.traffic.Post(entry.AnswerBegan(d.Number())) })
 }
 
 // abandonedStatus returns the status of an attempt that this entry abandoned.
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -16,6 +16,7 @@
 	"papayaquay/core/cluster"
 	"papayaquay/core/entry"
 	"papayaquay/core/event"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/routing"
 	"papayaquay/core/tick"
 	"papayaquay/io/boottime"
@@ -157,11 +158,21 @@
 		entry.WithLogger(p.logger), entry.WithSeed(uint64(p.startedAt.UnixNano())),
 		entry.WithReport(func(r usageReport) { p.inbox.Post(cluster.UsageChanged(r)) }),
 		entry.WithObserver(metrics().requestEnded, metrics().attemptEnded),
+		entry.WithQuarantine(p.checkCrash,
+			func(c quarantine.Crash) { p.inbox.Post(cluster.ServerCrashed(c)) },
+			func(parts []quarantine.Part) { p.inbox.Post(cluster.AnswerBegan(parts)) }),
 		entry.WithProbe(func(backend, address string) {
 			go func() { p.traffic.Post(entry.ProbeEnded(backend, p.forward.CanConnect(context.Background(), address))) }()
 		}))
 }
 
+// checkCrash tells the traffic thread whether a backend server refuses connections.
+func (p *Process) checkCrash(id quarantine.CrashID, address string) {
+	go func() {
+		p.traffic.Post(entry.CrashChecked(id, p.forward.Refuses(context.Background(), address)))
+	}()
+}
+
 // Snapshot returns the newest snapshot of the control world.
 func (p *Process) Snapshot() *cluster.Snapshot { return p.snapshot.Load() }
 
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -113,6 +113,7 @@
 // metricsHandler returns the handler that serves counters, histograms and
 // profiles.
 func (p *Process) metricsHandler() http.Handler {
+	p.publishQuarantine()
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", expvar.Handler())
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -13,11 +13,14 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"papayaquay/core/entry"
 	"papayaquay/core/member"
 	"papayaquay/io/socket"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Limits of connections to backend servers.
@@ -148,6 +151,17 @@
 	return true
 }
 
+// Refuses reports whether a server refuses connections: its process is gone, while its
+// machine answers.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
+
 // backendResponse is the response of a backend server. Its body is still unread.
 type backendResponse struct {
 	response *http.Response
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -157,7 +157,7 @@
 			s := newTestServer(t, test.resetAtEnd, test.response)
 			recorder := httptest.NewRecorder()
 			relay := New(testCodec()).NewRelay(newRequest("POST"), recorder, test.resumable, progress.New())
-			status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {})
+			status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {}, func() {})
 			c.Assert(status, qt.Equals, test.status)
 			c.Assert(recorder.Body.String(), qt.Equals, test.body)
 			c.Assert(relay.ResponseStarted(), qt.Equals, test.responseStarted)
@@ -179,9 +179,9 @@
 	second := newTestServer(t, false, okHeader+chunk(events(3, 4))+"0\r\n\r\n")
 	recorder := httptest.NewRecorder()
 	relay := New(testCodec()).NewRelay(newRequest("POST"), recorder, true, progress.New())
-	status, _ := relay.Try(context.Background(), first.backend(), "", func(entry.LoadReport) {})
+	status, _ := relay.Try(context.Background(), first.backend(), "", func(entry.LoadReport) {}, func() {})
 	c.Assert(status, qt.Equals, entry.AttemptInterrupted)
-	status, _ = relay.Try(context.Background(), second.backend(), "", func(entry.LoadReport) {})
+	status, _ = relay.Try(context.Background(), second.backend(), "", func(entry.LoadReport) {}, func() {})
 	c.Assert(status, qt.Equals, entry.AttemptAnswered)
 	c.Assert(recorder.Body.String(), qt.Equals, events(1, 4))
 	c.Assert(second.requests[0].Header.Get("Resume"), qt.Equals, "2")
@@ -200,7 +200,7 @@
 			client := New(testCodec())
 			for n, want := range []entry.AttemptStatus{entry.AttemptAnswered, entry.AttemptLost} {
 				relay := client.NewRelay(newRequest(test.method), httptest.NewRecorder(), false, progress.New())
-				status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {})
+				status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {}, func() {})
 				c.Assert(status, qt.Equals, want)
 				requests, conns := s.count()
 				c.Assert(requests, qt.Equals, n+1)
@@ -219,7 +219,7 @@
 	for range 2 {
 		recorder := httptest.NewRecorder()
 		relay := client.NewRelay(newRequest("POST"), recorder, false, progress.New())
-		status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {})
+		status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {}, func() {})
 		c.Assert(strings.Contains(recorder.Body.String(), "wrong"), qt.IsFalse)
 		c.Assert(status == entry.AttemptAnswered || status == entry.AttemptLost, qt.IsTrue)
 	}
@@ -232,7 +232,7 @@
 	s := newTestServer(t, false)
 	s.listener.Close()
 	relay := New(testCodec()).NewRelay(newRequest("POST"), httptest.NewRecorder(), false, progress.New())
-	status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {})
+	status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {}, func() {})
 	c.Assert(status, qt.Equals, entry.AttemptUnreachable)
 	c.Assert(relay.MayHaveRun(), qt.IsFalse)
 }
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -66,8 +66,9 @@
 
 // Try sends the request to one server, with a reserved slot if there is one, and
 // copies its response. It calls onHeader when the header of a valid response has
-// arrived. It returns the status of the attempt and the server's load report.
-func (r *Relay) Try(ctx context.Context, b member.Backend, slot string, onHeader func(entry.LoadReport)) (entry.AttemptStatus, entry.LoadReport) {
+// arrived, and onBegin when the first bytes of its body have. It returns the status of
+// the attempt and the server's load report.
+func (r *Relay) Try(ctx context.Context, b member.Backend, slot string, onHeader func(entry.LoadReport), onBegin func()) (entry.AttemptStatus, entry.LoadReport) {
 	resp, sent := r.client.send(ctx, r.request, b, r.events.lastID, slot)
 	r.mayHaveRun = r.mayHaveRun || (sent && (resp == nil || !resp.header.notRun))
 	switch {
@@ -89,7 +90,7 @@
 	}
 	r.progress.Increment()
 	onHeader(load)
-	return r.copy(ctx, resp), load
+	return r.copy(ctx, resp, onBegin), load
 }
 
 // drainBody reads a short body so that its connection can be reused.
@@ -118,7 +119,7 @@
 // delays the header of a resumable response until the first whole event: if the
 // server fails earlier, the caller gets the whole response of another server,
 // including its header.
-func (r *Relay) copy(ctx context.Context, resp *backendResponse) entry.AttemptStatus {
+func (r *Relay) copy(ctx context.Context, resp *backendResponse, onBegin func()) entry.AttemptStatus {
 	resumable := r.resumable && resp.response.StatusCode == http.StatusOK
 	r.events.pending = nil
 	if !resumable {
@@ -126,9 +127,14 @@
 	}
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
+	began := false
 	for {
 		n, err := resp.response.Body.Read(buffer[:])
 		r.progress.Increment()
+		if n > 0 && !began {
+			began = true
+			onBegin()
+		}
 		chunk := buffer[:n]
 		if resumable {
 			chunk = r.events.feed(chunk)
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -17,16 +17,18 @@
 // sends.
 func NewClusterCodec() cluster.Codec {
 	return cluster.Codec{
-		Registry:      cluster.NewEncoding(encodeRegistryCommand, decodeRegistryCommand),
-		RegistryState: cluster.NewEncoding(encodeRegistryState, decodeRegistryState),
-		Batch:         cluster.NewEncoding(encodeBatchCommand, decodeBatchCommand),
-		BatchSnapshot: cluster.NewEncoding(encodeBatchSnapshot, decodeBatchSnapshot),
-		PollRequest:   cluster.NewEncoding(encodePollRequest, decodePollRequest),
-		PollResponse:  cluster.NewEncoding(encodePollResponse, decodePollResponse),
-		SyncRequest:   cluster.NewEncoding(encodeSyncRequest, decodeSyncRequest),
-		LoadUpdate:    cluster.NewEncoding(encodeLoadUpdate, decodeLoadUpdate),
-		Query:         cluster.NewEncoding(encodeQuery, decodeQuery),
-		Page:          cluster.NewEncoding(encodePage, decodePage),
+		Registry:        cluster.NewEncoding(encodeRegistryCommand, decodeRegistryCommand),
+		RegistryState:   cluster.NewEncoding(encodeRegistryState, decodeRegistryState),
+		Batch:           cluster.NewEncoding(encodeBatchCommand, decodeBatchCommand),
+		BatchSnapshot:   cluster.NewEncoding(encodeBatchSnapshot, decodeBatchSnapshot),
+		PollRequest:     cluster.NewEncoding(encodePollRequest, decodePollRequest),
+		PollResponse:    cluster.NewEncoding(encodePollResponse, decodePollResponse),
+		SyncRequest:     cluster.NewEncoding(encodeSyncRequest, decodeSyncRequest),
+		LoadUpdate:      cluster.NewEncoding(encodeLoadUpdate, decodeLoadUpdate),
+		EvidenceRequest: cluster.NewEncoding(encodeEvidenceRequest, decodeEvidenceRequest),
+		EvidenceUpdate:  cluster.NewEncoding(encodeEvidenceUpdate, decodeEvidenceUpdate),
+		Query:           cluster.NewEncoding(encodeQuery, decodeQuery),
+		Page:            cluster.NewEncoding(encodePage, decodePage),
 	}
 }
 
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -11,6 +11,7 @@
 	"papayaquay/core/directory"
 	"papayaquay/core/ledger"
 	"papayaquay/core/member"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/registry"
 	"papayaquay/core/usage"
 
@@ -27,6 +28,7 @@
 	members := []ledger.Member{ledger.NewMember("a#1", "a", true)}
 	node := directory.NewInstance("a:1", "n", "z", directory.RoleStore, 5, directory.WithRevision(2), directory.WithReplica("a#1", true), directory.WithTerm(4))
 	backend := member.NewBackend("b", "b:1", "z", member.ProtocolEngine, 8, 3, 4, member.WithServices("s"), member.WithLeaving(true))
+	crashed := quarantine.NewCrash(quarantine.NewCrashID("b", 7), time.Second, []quarantine.Prompt{{"s/1", "s/2"}}, []quarantine.Part{"s/1"})
 	for _, test := range []struct {
 		name  string
 		check func(c *qt.C)
@@ -45,6 +47,8 @@
 			directory.WithStale([]string{"b"}), directory.WithFull(true)), registry.NewDocument(7, []byte("{}")), members, time.Second))},
 		{"sync request", checkRoundTrip(codec.SyncRequest, usage.NewSyncRequest(usage.NewReport(map[string]int{"b": 2}), usage.NewCursor(3, 4)))},
 		{"load update", checkRoundTrip(codec.LoadUpdate, cluster.NewLoadUpdate(3, usage.NewUpdate(usage.NewCursor(3, 4), true, cluster.Loads{"b": usage.NewLoad(2, 1)})))},
+		{"evidence request", checkRoundTrip(codec.EvidenceRequest, quarantine.NewSyncRequest(quarantine.NewCursor(3, 4), []quarantine.Crash{crashed}))},
+		{"evidence update", checkRoundTrip(codec.EvidenceUpdate, quarantine.NewUpdate(quarantine.NewCursor(3, 4), []quarantine.Crash{crashed}))},
 		{"query", checkRoundTrip(codec.Query, cluster.NewQuery("j", 4, "i"))},
 		{"page", checkRoundTrip(codec.Page, batch.NewPage(3, 2, []batch.PageResult{batch.NewPageResult("i", batch.ItemDeadLettered, []byte("x"))}))},
 	} {
--- /dev/null
+++ b/io/record/evidence.go
@@ -0,0 +1,78 @@
+package record
+
+import (
+	"time"
+
+	"papayaquay/core/quarantine"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// crash is the wire format of quarantine.Crash.
+type crash struct {
+	_           struct{} `cbor:",toarray"`
+	Backend     string
+	Incarnation uint64
+	AgeMS       int64
+	Suspects    []quarantine.Prompt
+	Acquitted   []quarantine.Part
+}
+
+// toCrashes returns the wire format of crashes.
+func toCrashes(crashes []quarantine.Crash) []crash {
+	out := make([]crash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, crash{Backend: c.ID().Backend(), Incarnation: c.ID().Incarnation(), AgeMS: c.Age().Milliseconds(),
+			Suspects: c.Suspects(), Acquitted: c.Acquitted()})
+	}
+	return out
+}
+
+// crashes converts crashes from their wire format. An age below zero counts as zero.
+func crashes(wire []crash) []quarantine.Crash {
+	out := make([]quarantine.Crash, 0, len(wire))
+	for _, c := range wire {
+		age := time.Duration(max(c.AgeMS, 0)) * time.Millisecond
+		out = append(out, quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Acquitted))
+	}
+	return out
+}
+
+// evidence is the wire format of quarantine.SyncRequest and quarantine.Update.
+type evidence struct {
+	_       struct{} `cbor:",toarray"`
+	Epoch   uint64
+	Version uint64
+	Crashes []crash
+}
+
+// encodeEvidence encodes a cursor and crashes.
+func encodeEvidence(cursor quarantine.Cursor, crashes []quarantine.Crash) ([]byte, error) {
+	data, err := cbor.Marshal(evidence{Epoch: cursor.Epoch(), Version: cursor.Version(), Crashes: toCrashes(crashes)})
+	return data, errors.Wrap(err, "encode crash evidence")
+}
+
+// encodeEvidenceRequest encodes a request for crash evidence.
+func encodeEvidenceRequest(r quarantine.SyncRequest) ([]byte, error) {
+	return encodeEvidence(r.Cursor(), r.Crashes())
+}
+
+// decodeEvidenceRequest decodes a request for crash evidence.
+func decodeEvidenceRequest(data []byte) (quarantine.SyncRequest, error) {
+	var wire evidence
+	err := Decode(data, &wire)
+	return quarantine.NewSyncRequest(quarantine.NewCursor(wire.Epoch, wire.Version), crashes(wire.Crashes)), err
+}
+
+// encodeEvidenceUpdate encodes an update of crash evidence.
+func encodeEvidenceUpdate(u quarantine.Update) ([]byte, error) {
+	return encodeEvidence(u.Cursor(), u.Crashes())
+}
+
+// decodeEvidenceUpdate decodes an update of crash evidence.
+func decodeEvidenceUpdate(data []byte) (quarantine.Update, error) {
+	var wire evidence
+	err := Decode(data, &wire)
+	return quarantine.NewUpdate(quarantine.NewCursor(wire.Epoch, wire.Version), crashes(wire.Crashes)), err
+}
