Items under which backend servers crashed are still run

Callers saw: in deployments of serve, an item got the final answer "refused" after its third lost server, and items and requests with the same content were rejected for an hour. Cause: crashes under items were counted like crashes under online requests. Items do not crash servers by themselves. Ruled out: core/runner (control instances): interrupted attempts never count there, and TestItemUnderCrashesIsPlacedAgain passed at once. Change: a lost connection does not count towards an item's attempts, crashes under items are not counted for their content, and counted crashes do not reject items. Tests: TestItemUnderCrashesIsOwed failed before in two of four cases (no attempt after the third crash), TestItemsCountNoCrashes failed (a request with the item's content got one attempt instead of two).

--- a/core/control/input.go
+++ b/core/control/input.go
@@ -84,6 +84,11 @@
 	tokens  int    // tokens of that text
 }
 
+// NewItem returns an item without text from earlier attempts.
+func NewItem(number uint64, leased home.LeasedItem, backend string) Item {
+	return Item{number: number, leased: leased, backend: backend}
+}
+
 // Number returns the item's number, which is unique on this instance.
 func (i Item) Number() uint64 { return i.number }
 
--- a/core/control/system_items.go
+++ b/core/control/system_items.go
@@ -45,18 +45,21 @@
 
 // failItem processes a failed attempt of an item. An at-most-once item gets the
 // outcome Unknown at once. Any other item waits for another attempt until
-// maxItemAttempts attempts have failed, and then gets the outcome Refused. An event
-// is logged if the backend server was lost during the last attempt.
+// maxItemAttempts attempts have failed, and then gets the outcome Refused. An attempt
+// during which the backend server was lost does not count, since items do not crash
+// servers; the server gets no items for itemBackoff.
 func (w *itemWorld) failItem(now time.Time, r ItemResult, item *itemRow) {
-	item.attempts++
 	if item.leased.AtMostOnce() {
 		w.answerItem(r.number, item, home.NewAnswer(outcome.Unknown, "", 0, "the only attempt failed", item.backend, now))
 		return
 	}
+	if r.crashed {
+		event.BackendLost.Log(w.logger, "backend", item.backend, "job", item.leased.Job(), "item", item.leased.Index())
+		w.backoffs.Put(item.backend, backoffRow{until: now.Add(itemBackoff)})
+	} else {
+		item.attempts++
+	}
 	if item.attempts >= maxItemAttempts {
-		if r.crashed {
-			event.PoisonRequestRejected.Log(w.logger, "job", item.leased.Job(), "item", item.leased.Index())
-		}
 		w.answerItem(r.number, item, home.NewAnswer(outcome.Refused, "", 0, "all attempts failed", item.backend, now))
 		return
 	}
--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -204,6 +204,49 @@
 	}
 }
 
+// TestItemUnderCrashesIsOwed guards against an item that is given up because backend
+// servers crashed while they ran it.
+func TestItemUnderCrashesIsOwed(t *testing.T) {
+	const maxWait = 5 * time.Second // until an item runs again
+	for _, test := range []struct {
+		name    string
+		crashes int
+		other   int // attempts that the server failed without a crash
+		runs    int // attempts in all
+		done    int // items with a result before the last attempt ends
+	}{
+		{"one crash", 1, 0, 2, 0},
+		{"many crashes", 8, 0, 9, 0},
+		{"crashes between failures", 4, 2, 7, 0},
+		{"failures only", 0, 3, 3, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSystem(t)
+			s.c.Assert(s.change(0, "one", 0).Applied(), qt.IsTrue)
+			s.announce(1)
+			s.run(time.Second)
+			key := home.NewKey("acc", "job")
+			command := home.NewCommand(home.CommandSubmit, key, s.now, home.WithService(service), home.WithItems(1, 0, []home.Item{home.NewItem("a", 1)}))
+			s.c.Assert(s.ask(1, control.CallApply, homeLedger, control.WithKey(key), control.WithCommand(command)).Err(), qt.IsNil)
+			s.run(3 * time.Second)
+			runner := s.runner()
+			for n := range test.crashes + test.other {
+				s.c.Assert(len(runner.items) > n, qt.IsTrue, qt.Commentf("the item does not run after %d attempts", n))
+				partial := home.NewAnswer(outcome.Pending, "", 0, "", "b1", s.now)
+				runner.inbox = append(runner.inbox, control.AttemptEnded(control.NewItemFailure(runner.items[n].Number(), n < test.crashes, partial)))
+				for waited := time.Duration(0); waited < maxWait && len(runner.items) == n+1; waited += 100 * time.Millisecond {
+					s.run(100 * time.Millisecond)
+					s.announce(uint64(n + 2))
+				}
+			}
+			s.run(time.Second)
+			s.c.Assert(runner.items, qt.HasLen, test.runs)
+			status := s.ask(0, control.CallJob, homeLedger, control.WithKey(key)).Reply().Status()
+			s.c.Assert(status.Done(), qt.Equals, test.done)
+		})
+	}
+}
+
 // announce announces a backend server with four slots to the running instances.
 func (s *system) announce(sequence uint64) {
 	for _, n := range s.nodes {
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -265,6 +265,36 @@
 	}
 }
 
+// TestItemUnderCrashesIsPlacedAgain checks that an item under which servers crashed again
+// and again runs once the servers are calm, and gets no result before.
+func TestItemUnderCrashesIsPlacedAgain(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		crashes int
+		status  AttemptStatus
+	}{
+		{"connections lost", 20, AttemptInterrupted},
+		{"servers unreachable", 20, AttemptUnreachable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRunner(t, 1, 3)
+			for n := range test.crashes {
+				for len(r.started) == n {
+					r.tick(100 * time.Millisecond)
+				}
+				r.report(r.started[n], test.status, "", 0)
+				r.c.Assert(r.world.TakeOutputs(), qt.HasLen, 0)
+			}
+			for calm := r.now; len(r.started) == test.crashes && r.now.Sub(calm) <= maxBackoff; {
+				r.tick(100 * time.Millisecond)
+			}
+			r.c.Assert(r.started, qt.HasLen, test.crashes+1)
+			r.report(r.started[test.crashes], AttemptDone, "x", 1)
+			r.c.Assert(r.world.TakeOutputs(), qt.HasLen, 1)
+		})
+	}
+}
+
 // TestExpiry checks that waiting items are dead-lettered after the expiry of their job
 // and not before.
 func TestExpiry(t *testing.T) {
--- a/core/traffic/system_items.go
+++ b/core/traffic/system_items.go
@@ -21,10 +21,6 @@
 	row := w.requests.Put(w.lastRequest, requestRow{request: request, item: item.Number(), backend: item.Backend(),
 		phase: phaseRunning, acceptedAt: now, text: item.Prefix(), tokens: item.Tokens(), sink: func(Event) {}})
 	w.items.Put(item.Number(), w.lastRequest)
-	if w.current.Crashes(row.fingerprint()) >= poisonCrashes {
-		w.storeFailure(now, w.lastRequest, row, outcome.Refused, "the request crashed backend servers")
-		return
-	}
 	t := w.targets.Get(item.Backend())
 	if t == nil || !t.inSnapshot {
 		w.finishItem(w.lastRequest, row, control.NewItemPreemption(item.Number(), w.partialAnswer(now, row)))
@@ -57,27 +53,10 @@
 	case FailureNotSent, FailureBusy:
 		w.finishItem(number, row, control.NewItemPreemption(row.item, w.partialAnswer(now, row)))
 	default:
-		connectionLost := end.failure == FailureConnectionLost
-		if connectionLost && !row.request.atMostOnce {
-			w.countItemCrash(now, row, end.attempt)
-		}
-		w.finishItem(number, row, control.NewItemFailure(row.item, connectionLost, w.partialAnswer(now, row)))
+		w.finishItem(number, row, control.NewItemFailure(row.item, end.failure == FailureConnectionLost, w.partialAnswer(now, row)))
 	}
 }
 
-// countItemCrash stores that the connection to a backend server was lost while it ran an
-// item.
-func (w *World) countItemCrash(now time.Time, row *requestRow, attempt uint64) {
-	fingerprint := row.fingerprint()
-	command := home.NewCommand(home.CommandCountCrash, home.Key{}, now, home.WithFingerprint(fingerprint),
-		home.WithNumber(Fingerprint(w.claimant(attempt), row.backend)))
-	call := control.NewCall(control.CallApply, control.HomeOfFingerprint(w.current.Homes(), fingerprint),
-		now.Add(storeTimeout), control.WithCommand(command))
-	w.callLedger(row, call, func(w *World, _ time.Time, r control.Result) {
-		w.reportCrashCount(control.NewCrashCount(fingerprint, r.Reply().Count()))
-	})
-}
-
 // finishItem removes an item and reports the end of its attempt to the control world.
 func (w *World) finishItem(number uint64, row *requestRow, result control.ItemResult) {
 	w.items.Remove(row.item)
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -153,6 +153,28 @@
 	}
 }
 
+// TestItemsCountNoCrashes guards against batch items that are given up because of crashes,
+// and against requests that are rejected because backend servers crashed under an item
+// with the same content.
+func TestItemsCountNoCrashes(t *testing.T) {
+	c := qt.New(t)
+	w := newTestWorld(c, 4)
+	w.step()
+	key := home.NewKey("acc", "job")
+	for n := range uint64(2 * poisonCrashes) {
+		item := control.NewItem(n+1, home.NewLeasedItem(key, 0, "s", false, home.NewItem("prompt k", 4)), "e0")
+		w.step(StartItem(item))
+		c.Assert(w.started, qt.HasLen, int(n)+1)
+		w.step(AttemptFailed(w.started[n].ID(), FailureConnectionLost, errAttempt))
+		c.Assert(w.itemResults, qt.HasLen, int(n)+1)
+		c.Assert(w.itemResults[n].Crashed(), qt.IsTrue)
+	}
+	started := len(w.started)
+	w.submit("k")
+	w.step(AttemptFailed(w.started[started].ID(), FailureConnectionLost, errAttempt))
+	c.Assert(w.started, qt.HasLen, started+2)
+}
+
 // TestRejections checks that a rejected submission starts no attempt and gets the expected
 // error. The error must not claim that nothing ran if an earlier call with the same key
 // may have run.
