A stream that ends inside an event counts as broken off

Callers saw: an answer without length and chunks that a server broke off inside an event was passed on as complete; a resumable one was not resumed. Cause: the relay took the end of the body for the end of the answer, and did not look where the last event ends. Items did look (core of the same reader). Ruled out: a check by framing (a server may also end the chunks inside an event). Change: the relay follows the ends of events in answers of type text/event-stream; an end inside one ends the attempt as interrupted, or lost if nothing was sent.

--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -41,6 +41,7 @@
 	listener   net.Listener
 	responses  []string
 	resetAtEnd bool // reset the connection after the last response
+	closeAtEnd bool // close it regularly
 	requests   []*http.Request
 	conns      int
 }
@@ -85,8 +86,13 @@
 			response, s.responses = s.responses[0], s.responses[1:]
 		}
 		end := len(s.responses) == 0 && s.resetAtEnd
+		closes := len(s.responses) == 0 && s.closeAtEnd
 		s.mu.Unlock()
 		_, _ = io.WriteString(conn, response)
+		if closes {
+			conn.Close()
+			return
+		}
 		if end {
 			time.Sleep(20 * time.Millisecond) // the client must read the response before the reset
 			_ = conn.(*net.TCPConn).SetLinger(0)
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -128,6 +128,7 @@
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
 	began := false
+	meter := newAnswerMeter(resp.response.Header)
 	for {
 		n, err := resp.response.Body.Read(buffer[:])
 		r.progress.Increment()
@@ -136,6 +137,10 @@
 			onBegin()
 		}
 		chunk := buffer[:n]
+		meter.add(chunk)
+		if err == io.EOF && meter.insideEvent() {
+			err = io.ErrUnexpectedEOF
+		}
 		if resumable {
 			chunk = r.events.feed(chunk)
 			r.events.each(chunk, func(uint64, []byte) {})
