Answers without end are given up after a bounded number of bytes

A backend server that sends bytes without end held a request until its deadline and an item for ever: each read counted as progress. The bytes of an event that never ends stayed in memory, with a cost that grows with the square of their number. Cause: no limit on the bytes of an event or a body. Ruled out: a limit on the time between reads (bytes do arrive). Change: an event has at most 256 kB, the body of a request's answer 64 MB, of an item's 1 MB.

--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -110,7 +110,7 @@
 	p.startedAt = p.wallClock()
 	p.snapshot.Store(cluster.NewSnapshot(nil, nil, nil))
 	p.peerClient = peer.NewClient(s.PeerAddress(), peerKeys, peer.WithSourceIP(s.SourceIP()))
-	p.forward = forward.New(front.backendCodec, forward.WithSourceIP(s.SourceIP()))
+	p.forward = forward.New(front.backendCodec, forward.WithSourceIP(s.SourceIP()), forward.WithLogger(p.logger))
 	var err error
 	if p.spans, err = newSpans(s.Name(), s.TraceFile(), s.TraceEndpoint()); err != nil {
 		return nil, err
--- a/io/forward/answer_meter.go
+++ b/io/forward/answer_meter.go
@@ -9,22 +9,36 @@
 // eventStreamType is the media type of streams of events.
 const eventStreamType = "text/event-stream"
 
+// Limits of answers. A server may send bytes that are no answer until the connection is
+// closed. The time of an answer is limited by the deadline of its request, or by the
+// runner of items.
+const (
+	maxEventBytes  = 256 << 10 // of one event
+	maxAnswerBytes = 64 << 20  // of the body of a request's answer
+	maxItemBytes   = 1 << 20   // of the body of an item's answer, which is kept in memory
+)
+
 // answerMeter follows the bytes of an answer's body and knows where events end.
 type answerMeter struct {
-	stream     bool  // the answer is a stream of events
+	stream     bool  // the answer says that it is a stream of events
+	events     bool  // the body is read as events
+	maxBytes   int64 // of the body
+	totalBytes int64
 	eventBytes int64 // since the end of the last event
 	lineBytes  int64 // of the current line
 }
 
-// newAnswerMeter returns a meter for the answer with the given header.
-func newAnswerMeter(h http.Header) answerMeter {
+// newAnswerMeter returns a meter for the answer with the given header and maximum size.
+func newAnswerMeter(h http.Header, maxBytes int64) answerMeter {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return answerMeter{stream: err == nil && mediaType == eventStreamType}
+	stream := err == nil && mediaType == eventStreamType
+	return answerMeter{maxBytes: maxBytes, stream: stream, events: stream}
 }
 
 // add counts the next bytes of the body. An event ends with an empty line.
 func (m *answerMeter) add(data []byte) {
-	if !m.stream {
+	m.totalBytes += int64(len(data))
+	if !m.events {
 		return
 	}
 	for len(data) > 0 {
@@ -43,6 +57,11 @@
 	}
 }
 
-// insideEvent reports whether the bytes so far end inside an event. A stream that ends
-// there was broken off, even if its end looks regular.
-func (m *answerMeter) insideEvent() bool { return m.eventBytes > 0 }
+// exceeded reports whether the body or its current event is longer than allowed.
+func (m *answerMeter) exceeded() bool {
+	return m.totalBytes > m.maxBytes || m.eventBytes > maxEventBytes
+}
+
+// insideEvent reports whether the bytes of a stream so far end inside an event. A stream
+// that ends there was broken off, even if its end looks regular.
+func (m *answerMeter) insideEvent() bool { return m.stream && m.eventBytes > 0 }
--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -21,7 +21,7 @@
 
 // Collect runs a request on one server and collects the data of the events after
 // the one with the id lastEvent, separated by line feeds. It increments counter
-// at each read and passes partial outputs to partial. It returns the status of
+// at each read that completes an event and passes partial outputs to partial. It returns the status of
 // the attempt, the text after the last partial output and the id of the newest
 // event.
 func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, lastEvent uint64, counter *progress.Counter, partial func(text []byte, lastEvent uint64)) (runner.AttemptStatus, []byte, uint64) {
@@ -49,8 +49,12 @@
 		drainBody(resp.response.Body)
 		return runner.AttemptFailed, nil, lastEvent
 	}
-	text, newLastEvent, err := collectEvents(ctx, resp.response.Body, lastEvent, counter, partial)
+	meter := newAnswerMeter(resp.response.Header, maxItemBytes)
+	meter.events = true
+	text, newLastEvent, err := collectEvents(ctx, resp.response.Body, &meter, lastEvent, counter, partial)
 	switch {
+	case err == errEndless:
+		c.logExceeded(r.id, resp, &meter)
 	case err == io.EOF:
 		return runner.AttemptDone, text, newLastEvent
 	case ctx.Err() != nil:
@@ -60,8 +64,8 @@
 }
 
 // collectEvents reads events until the body ends. The error is io.EOF when the
-// body is complete and ends with a whole event.
-func collectEvents(ctx context.Context, body io.Reader, lastEvent uint64, counter *progress.Counter, partial func(text []byte, lastEvent uint64)) ([]byte, uint64, error) {
+// body is complete and ends with a whole event, and errEndless when it is too long.
+func collectEvents(ctx context.Context, body io.Reader, meter *answerMeter, lastEvent uint64, counter *progress.Counter, partial func(text []byte, lastEvent uint64)) ([]byte, uint64, error) {
 	events := eventScanner{lastID: lastEvent}
 	reported := lastEvent
 	var text []byte
@@ -70,12 +74,15 @@
 	defer buffers.Put(buffer)
 	for {
 		n, err := body.Read(buffer[:])
-		counter.Increment()
+		if meter.add(buffer[:n]); meter.exceeded() {
+			return text, events.lastID, errEndless
+		}
 		events.each(events.feed(buffer[:n]), func(_ uint64, data []byte) {
 			if !first {
 				text = append(text, '\n')
 			}
 			text, first = append(text, data...), false
+			counter.Increment()
 		})
 		if events.lastID >= reported+eventsPerPartial {
 			partial(text, events.lastID)
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -17,6 +18,7 @@
 	"time"
 
 	"papayaquay/core/entry"
+	"papayaquay/core/event"
 	"papayaquay/core/member"
 	"papayaquay/io/socket"
 
@@ -106,11 +108,15 @@
 	return Request{id: id, method: method, target: target, host: host, header: header, body: body, deadline: deadline}
 }
 
+// errEndless is the error of an answer that exceeds its limits.
+var errEndless = errors.New("the answer exceeds its limits")
+
 // Client sends requests to backend servers.
 type Client struct {
 	codec     Codec
 	transport *http.Transport
 	now       func() time.Time
+	logger    *slog.Logger
 }
 
 // Option configures a client in New.
@@ -126,9 +132,12 @@
 	return WithDial(socket.Dialer(dialTimeout, tcpUserTimeout, sourceIP).DialContext)
 }
 
+// WithLogger sets the logger.
+func WithLogger(logger *slog.Logger) Option { return func(c *Client) { c.logger = logger } }
+
 // New returns a client that uses the given codec.
 func New(codec Codec, options ...Option) *Client {
-	c := &Client{codec: codec, now: time.Now, transport: &http.Transport{
+	c := &Client{codec: codec, now: time.Now, logger: slog.New(slog.DiscardHandler), transport: &http.Transport{
 		DialContext:            socket.Dialer(dialTimeout, tcpUserTimeout, "").DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
@@ -164,6 +173,7 @@
 
 // backendResponse is the response of a backend server. Its body is still unread.
 type backendResponse struct {
+	backend  string
 	response *http.Response
 	header   ResponseHeader
 }
@@ -196,7 +206,13 @@
 	}
 	header := c.codec.readHeader(r.id, response.StatusCode, response.Header)
 	header.load = header.load.WithIdleTimeout(keepAliveTimeout(response.Header))
-	return &backendResponse{response: response, header: header}, true
+	return &backendResponse{backend: b.ID(), response: response, header: header}, true
+}
+
+// logExceeded logs that an answer was given up because it exceeds its limits.
+func (c *Client) logExceeded(request string, resp *backendResponse, meter *answerMeter) {
+	event.AnswerTooLong.Log(c.logger, "request", request, "backend", resp.backend, "status", resp.response.StatusCode,
+		"bytes", meter.totalBytes, "event_bytes", meter.eventBytes)
 }
 
 // keepAliveTimeout returns how long a server keeps an idle connection open, 0 if
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -128,7 +128,8 @@
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
 	began := false
-	meter := newAnswerMeter(resp.response.Header)
+	meter := newAnswerMeter(resp.response.Header, maxAnswerBytes)
+	meter.events = meter.events || resumable
 	for {
 		n, err := resp.response.Body.Read(buffer[:])
 		r.progress.Increment()
@@ -138,7 +139,11 @@
 		}
 		chunk := buffer[:n]
 		meter.add(chunk)
-		if err == io.EOF && meter.insideEvent() {
+		switch {
+		case meter.exceeded():
+			r.client.logExceeded(r.request.id, resp, &meter)
+			chunk, err = nil, errEndless
+		case err == io.EOF && meter.insideEvent():
 			err = io.ErrUnexpectedEOF
 		}
 		if resumable {
