Streams of engines without end are given up after a bounded number of bytes

Callers saw: nothing yet. In deployments of serve an engine that sends lines without end held an attempt until its deadline, an item for 10 minutes. Cause: lines that are no event, and events of other attempts, were skipped without a count. Ruled out: plain services (4 MB and the deadline). Change: 1 MB of lines between two events of the attempt, 16 MB in all, 64 kB for a head (before: 10 MB, the transport's default).

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -24,7 +24,9 @@
 	dialTimeout    = 500 * time.Millisecond
 	cancelTimeout  = 2 * time.Second
 	maxIdlePerHost = 64
-	maxLineBytes   = 1 << 20
+	maxHeaderBytes = 64 << 10
+	maxLineBytes   = 1 << 20               // of one line, and of all lines between two events of the attempt
+	maxAnswerBytes = 16 << 20              // of all lines of an attempt
 	lateEventDelay = 50 * time.Millisecond // for events that arrive on another connection
 	maxErrorBytes  = 4 << 10
 )
@@ -53,10 +55,11 @@
 // NewTransport returns the HTTP transport for connections to backend servers.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -127,7 +130,7 @@
 		c.endWithStatus(active, response)
 		return
 	}
-	err = c.readEvents(response.Body)
+	err = c.readEvents(active, response.Body)
 	time.AfterFunc(lateEventDelay, func() {
 		c.end(active, traffic.FailureConnectionLost, errors.Wrap(err, "stream ended early"))
 	})
@@ -163,11 +166,20 @@
 	}
 }
 
+// errEndless is the error of a stream that exceeds its limits.
+var errEndless = errors.New("the stream exceeds its limits")
+
 // readEvents reads the events of a stream and delivers each to the attempt that it names.
-func (c *Client) readEvents(body io.Reader) error {
+// The stream must have events of the active attempt.
+func (c *Client) readEvents(active *activeAttempt, body io.Reader) error {
+	total, idle := 0, 0 // bytes in all, and since the last event of the attempt
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
 	for lines.Scan() {
+		n := len(lines.Bytes()) + 1
+		if total, idle = total+n, idle+n; total > maxAnswerBytes || idle > maxLineBytes {
+			return errEndless
+		}
 		data, ok := strings.CutPrefix(lines.Text(), "data:")
 		if !ok {
 			continue
@@ -176,6 +188,9 @@
 		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
 			return errors.Wrap(err, "decode event")
 		}
+		if chunk.ID == active.id {
+			idle = 0
+		}
 		c.deliver(chunk)
 	}
 	return errors.Wrap(lines.Err(), "read stream")
