--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -270,7 +270,7 @@
 	w.readiness.update(now, w.config != nil, len(s.servers))
 	s.ready = w.readiness.ready
 	if w.quarantine != nil {
-		s.quarantine = w.quarantine.View()
+		s.quarantine = w.quarantine.View().At(now)
 	}
 	s.stores = w.directory.Instances(directory.RoleStore)
 	w.publish(s)
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Verdict says that requests with a part are rejected.
 type Verdict struct {
@@ -8,7 +11,7 @@
 	crashes  int
 	backends []string
 	until    time.Time     // by the clock of the control thread
-	left     time.Duration // until then, when the verdict was made
+	left     time.Duration // until then, when the view was made
 }
 
 // Part returns the rejected part.
@@ -21,7 +24,7 @@
 // maxLoggedBackends.
 func (v Verdict) Backends() []string { return v.backends }
 
-// TimeLeft returns the time until the end of the verdict, from when it was made.
+// TimeLeft returns the time until the end of the verdict, from when the view was made.
 func (v Verdict) TimeLeft() time.Duration { return v.left }
 
 // View holds the verdicts in force and the suspect parts. It never changes.
@@ -33,6 +36,18 @@
 // NewView returns a view with the given verdicts and without suspect parts.
 func NewView(verdicts []Verdict) *View { return &View{verdicts: verdicts} }
 
+// At returns the view with the times left at a later time.
+func (v *View) At(now time.Time) *View {
+	if len(v.verdicts) == 0 {
+		return v
+	}
+	later := &View{verdicts: slices.Clone(v.verdicts), suspects: v.suspects}
+	for i := range later.verdicts {
+		later.verdicts[i].left = later.verdicts[i].until.Sub(now)
+	}
+	return later
+}
+
 // Verdicts returns the verdicts in force.
 func (v *View) Verdicts() []Verdict { return v.verdicts }
 
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	stdexpvar "expvar"
 	"strconv"
 	"sync"
 	"time"
@@ -103,17 +102,6 @@
 	return strconv.Itoa(min(bucket, maxSizeTokens))
 }
 
-// quarantineMetric is the name of the metric that lists the quarantined parts of prompts.
-const quarantineMetric = "fleet_quarantine"
-
-// quarantinedPart is a quarantined part of prompts in the metrics.
-type quarantinedPart struct {
-	Part     string   `json:"part"`
-	Crashes  int      `json:"crashes"`
-	Backends []string `json:"backends"`
-	EndsInMS int64    `json:"ends_in_ms"` // when the verdict was made
-}
-
 // callEnded counts a call of a front end and records its duration.
 func (m *metricSet) callEnded(kind string, err error, duration time.Duration) {
 	outcome := "ok"
@@ -123,17 +111,3 @@
 	m.calls.add(kind + " " + outcome)
 	m.callTime.Observe(millis(duration))
 }
-
-// publishQuarantine makes the quarantined parts of prompts part of the metrics.
-func (p *Process) publishQuarantine() {
-	if stdexpvar.Get(quarantineMetric) != nil {
-		return // names of metrics are global
-	}
-	stdexpvar.Publish(quarantineMetric, stdexpvar.Func(func() any {
-		parts := []quarantinedPart{}
-		for _, v := range p.Snapshot().Quarantine().Verdicts() {
-			parts = append(parts, quarantinedPart{Part: string(v.Part()), Crashes: v.Crashes(), Backends: v.Backends(), EndsInMS: v.TimeLeft().Milliseconds()})
-		}
-		return parts
-	}))
-}
