Cut links are told apart from crashes of backend servers

Cause: a cut link refuses connections like a server whose process is gone, so each request lost in the cut accused its parts of a crash. Ruled out: more crashes before a verdict (a cut loses requests on all servers at once); announcements as proof of life (they come every second or two, and late ones may be from before the crash). Change: the check of a server also asks up to two others of its data centre for a connection; if these refuse, nothing is reported. A server that answers a request that was sent after its crash was known refutes the crash on all instances. Tests: TestAnswerRefutesCrash, TestRefutedCrashesDoNotCount, TestCrashEvidence (servers to compare); they cannot compile before.

--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -20,6 +20,7 @@
 	usage          *usage.Report
 	crash          *quarantine.Crash
 	acquitted      []quarantine.Part
+	answered       *quarantine.CrashID
 	seeds          []string
 	reportTransfer func(leading int)
 	work           func()
@@ -53,6 +54,9 @@
 // AnswerBegan reports that an answer began on suspect parts.
 func AnswerBegan(parts []quarantine.Part) Input { return Input{acquitted: parts} }
 
+// ServerAnswered reports that a backend server that was believed to have crashed answered.
+func ServerAnswered(id quarantine.CrashID) Input { return Input{answered: &id} }
+
 // SeedsChanged replaces the peer addresses of the seeds.
 func SeedsChanged(addresses []string) Input { return Input{seeds: addresses} }
 
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -37,6 +37,8 @@
 		for _, part := range input.acquitted {
 			w.quarantine.Acquit(now, part)
 		}
+	case input.answered != nil && w.quarantine != nil:
+		w.quarantine.Refute(now, *input.answered)
 	case input.seeds != nil:
 		w.seeds, w.controlList, w.contactPointsVersion = input.seeds, nil, 0
 	case input.reportTransfer != nil:
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -163,6 +163,7 @@
 	backend         string             // of the current attempt
 	incarnation     uint64             // of the server of the current attempt
 	answerBegan     bool               // a part of the answer's body arrived
+	believedCrashed bool               // the server was believed to have crashed when the attempt started
 	sentAt          time.Time
 	headerAt        time.Time     // when the newest response header arrived
 	stallTimeout    time.Duration // time without bytes after which the attempt counts as stalled
--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -14,11 +14,44 @@
 }
 
 // WithQuarantine sets the functions that connect the world with the crash evidence.
-// checkCrash starts a check whether a server refuses connections; it must not block, and
-// the result is passed to the world by CrashChecked. reportCrash receives each crash.
-// acquit receives suspect parts on which an answer began.
-func WithQuarantine(checkCrash func(id quarantine.CrashID, address string), reportCrash func(quarantine.Crash), acquit func([]quarantine.Part)) Option {
-	return func(w *World) { w.checkCrash, w.reportCrash, w.acquit = checkCrash, reportCrash, acquit }
+// checkCrash starts a check whether a server refuses connections although one of the
+// given other servers of its data centre accepts them; it must not block, and the result is
+// passed to the world by CrashChecked. reportCrash receives each crash. acquit receives
+// suspect parts on which an answer began. refute receives a server that was believed to
+// have crashed and answers.
+func WithQuarantine(checkCrash func(id quarantine.CrashID, address string, others []string), reportCrash func(quarantine.Crash),
+	acquit func([]quarantine.Part), refute func(quarantine.CrashID)) Option {
+	return func(w *World) {
+		w.checkCrash, w.reportCrash, w.acquit, w.refute = checkCrash, reportCrash, acquit, refute
+	}
+}
+
+// maxComparedServers is the number of other servers that a check asks for a connection.
+const maxComparedServers = 2
+
+// comparableServers returns the addresses of servers in the same data centre that are not
+// known to have problems. If they refuse connections as well, the link is cut.
+func (w *World) comparableServers(row *requestRow) []string {
+	dataCentre := w.server(row.backend).dataCentre
+	snapshot := w.snapshot()
+	var addresses []string
+	for _, s := range snapshot.Servers() {
+		b := s.Backend()
+		if b.ID() == row.backend || b.DataCentre() != dataCentre || s.Stale() || w.failing(b.ID()) ||
+			snapshot.Quarantine().Crashed(quarantine.NewCrashID(b.ID(), b.Incarnation())) {
+			continue
+		}
+		if addresses = append(addresses, b.Address()); len(addresses) == maxComparedServers {
+			break
+		}
+	}
+	return addresses
+}
+
+// failing reports whether the last attempt on a server failed or makes no progress.
+func (w *World) failing(id string) bool {
+	state := w.servers.Get(id)
+	return state != nil && (state.failures > 0 || state.stalled)
 }
 
 // rejectQuarantined ends a request with a quarantined part and reports whether it did.
@@ -43,7 +76,7 @@
 	check := w.crashChecks.Get(id)
 	if check == nil {
 		check = w.crashChecks.Put(id, crashCheckRow{})
-		w.checkCrash(id, w.server(row.backend).address)
+		w.checkCrash(id, w.server(row.backend).address, w.comparableServers(row))
 	}
 	check.suspects = append(check.suspects, row.request.sharedParts)
 }
@@ -69,6 +102,9 @@
 		return
 	}
 	row.answerBegan = true
+	if row.believedCrashed {
+		w.refute(quarantine.NewCrashID(row.backend, row.incarnation))
+	}
 	var acquitted []quarantine.Part
 	for _, part := range row.request.sharedParts {
 		if w.snapshot().Quarantine().Suspect(part) {
--- a/core/entry/system_crash_test.go
+++ b/core/entry/system_crash_test.go
@@ -34,13 +34,15 @@
 		{"answered", prompt, true, true, AttemptAnswered, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			e := newTestEntry(t, 2, cluster.Loads{})
+			e := newTestEntry(t, 4, cluster.Loads{}) // two in each data centre
 			var checked []quarantine.CrashID
 			var reported []quarantine.Crash
-			WithQuarantine(func(id quarantine.CrashID, address string) {
+			WithQuarantine(func(id quarantine.CrashID, address string, others []string) {
 				e.c.Check(address, qt.Equals, id.Backend()+":1")
+				e.c.Check(others, qt.HasLen, 1)
+				e.c.Check(others, qt.Not(qt.Contains), address)
 				checked = append(checked, id)
-			}, func(c quarantine.Crash) { reported = append(reported, c) }, func([]quarantine.Part) {})(e.world)
+			}, func(c quarantine.Crash) { reported = append(reported, c) }, func([]quarantine.Part) {}, func(quarantine.CrashID) {})(e.world)
 			e.submitPrompt(test.prompt)
 			number := e.last().Number()
 			backend := e.last().Backend()
@@ -83,8 +85,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			e := newTestEntry(t, 3, cluster.Loads{})
 			var began []quarantine.Part
-			WithQuarantine(func(quarantine.CrashID, string) {}, func(quarantine.Crash) {},
-				func(parts []quarantine.Part) { began = append(began, parts...) })(e.world)
+			WithQuarantine(func(quarantine.CrashID, string, []string) {}, func(quarantine.Crash) {},
+				func(parts []quarantine.Part) { began = append(began, parts...) }, func(quarantine.CrashID) {})(e.world)
 			e.submitPrompt(test.prompt)
 			number := e.last().Number()
 			evidence := quarantine.New(1)
@@ -105,6 +107,47 @@
 	}
 }
 
+// TestAnswerRefutesCrash checks that a server that was believed to have crashed, because a
+// cut link refused connections, is reported once it answers a request that was sent later.
+func TestAnswerRefutesCrash(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		crash     bool // the server is believed to have crashed
+		sentAfter bool
+		began     bool
+		refutes   bool
+	}{
+		{"answers a later request", true, true, true, true},
+		{"answers an earlier request", true, false, true, false},
+		{"does not answer", true, true, false, false},
+		{"no crash", false, true, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newTestEntry(t, 1, cluster.Loads{})
+			var refuted []quarantine.CrashID
+			WithQuarantine(func(quarantine.CrashID, string, []string) {}, func(quarantine.Crash) {}, func([]quarantine.Part) {},
+				func(id quarantine.CrashID) { refuted = append(refuted, id) })(e.world)
+			id := quarantine.NewCrashID("b0", 1)
+			if !test.sentAfter {
+				e.submitPrompt(nil)
+			}
+			evidence := quarantine.New(1)
+			if test.crash {
+				evidence.Report(e.now, quarantine.NewCrash(id, 0, []quarantine.Prompt{{"s/1"}}, nil))
+			}
+			evidence.Run(e.now)
+			e.snapshot = e.snapshot.WithQuarantine(evidence.View())
+			if test.sentAfter {
+				e.submitPrompt(nil)
+			}
+			if test.began {
+				e.step(0, AnswerBegan(e.last().Number()))
+			}
+			e.c.Assert(len(refuted) == 1, qt.Equals, test.refutes)
+		})
+	}
+}
+
 // submitPrompt submits a request that may run twice, with the given shared parts.
 func (e *testEntry) submitPrompt(prompt quarantine.Prompt) {
 	r := NewRequest("r", "s", true, false, 2, e.now, e.now.Add(5*time.Second), WithSharedParts(prompt))
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -40,9 +40,10 @@
 	probe          func(backend, address string)
 	observeRequest func(outcome string, headerDelay, total time.Duration)
 	observeAttempt func(AttemptStatus)
-	checkCrash     func(id quarantine.CrashID, address string)
+	checkCrash     func(id quarantine.CrashID, address string, others []string)
 	reportCrash    func(quarantine.Crash)
 	acquit         func([]quarantine.Part)
+	refute         func(quarantine.CrashID)
 	dataCentre     string
 
 	requests           *table.Table[uint64, requestRow]
@@ -91,7 +92,7 @@
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
-		checkCrash: func(quarantine.CrashID, string) {}, reportCrash: func(quarantine.Crash) {}, acquit: func([]quarantine.Part) {},
+		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, acquit: func([]quarantine.Part) {},
 		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
@@ -189,6 +190,7 @@
 	w.inFlightChanged = true
 	row.backend, row.sentAt, row.abandoned, row.stallTimeout = backend.ID(), now, false, stalledAfter
 	row.incarnation, row.answerBegan = backend.Incarnation(), false
+	row.believedCrashed = w.snapshot().Quarantine().Crashed(quarantine.NewCrashID(backend.ID(), backend.Incarnation()))
 	row.idle = progress.NewIdleTimer(row.progress)
 	if choice.online+choice.batch >= backend.Slots() {
 		row.stallTimeout = queuedStalledAfter
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -51,6 +51,7 @@
 	age       time.Duration
 	suspects  []Prompt
 	acquitted []Part
+	refuted   bool
 }
 
 // NewCrash returns a crash that happened age ago. suspects are the prompts of the
@@ -60,6 +61,13 @@
 	return Crash{id: id, age: age, suspects: suspects, acquitted: acquitted}
 }
 
+// AsRefuted returns the crash with the information that it did not happen: the server
+// answered afterwards.
+func (c Crash) AsRefuted() Crash {
+	c.refuted = true
+	return c
+}
+
 // ID returns the id of the crash.
 func (c Crash) ID() CrashID { return c.id }
 
@@ -72,10 +80,14 @@
 // Acquitted returns the parts that cannot have caused the crash.
 func (c Crash) Acquitted() []Part { return c.acquitted }
 
+// Refuted reports whether the server answered after the crash, so that it did not crash.
+func (c Crash) Refuted() bool { return c.refuted }
+
 // crashRow is a crash in the table.
 type crashRow struct {
 	suspects     []Prompt
 	acquitted    []Part
+	refuted      bool
 	happenedAt   time.Time
 	learnedAt    time.Time // when the crash became known here
 	version      uint64    // of the last change
@@ -85,7 +97,8 @@
 // merge adds what another instance knows about the crash and reports whether that was
 // new.
 func (r *crashRow) merge(c Crash) bool {
-	changed := false
+	changed := c.refuted && !r.refuted
+	r.refuted = r.refuted || c.refuted
 	for _, prompt := range c.suspects {
 		prompt = prompt[:min(len(prompt), maxPartsPerPrompt)]
 		known := slices.ContainsFunc(r.suspects, func(p Prompt) bool { return slices.Equal(p, prompt) })
@@ -108,5 +121,7 @@
 
 // crash returns the row as a message.
 func (r *crashRow) crash(now time.Time, id CrashID) Crash {
-	return NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.acquitted))
+	c := NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.acquitted))
+	c.refuted = r.refuted
+	return c
 }
--- a/core/quarantine/system_judge.go
+++ b/core/quarantine/system_judge.go
@@ -39,7 +39,7 @@
 // the most crashes. So the first part of a prompt is blamed only for crashes under prompts
 // that have nothing else in common.
 func (w *World) judge(now time.Time) (*View, time.Time) {
-	view := &View{suspects: make(map[Part]bool)}
+	view := &View{suspects: make(map[Part]bool), accused: w.accusedServers()}
 	explained := make(map[CrashID]bool)
 	next := time.Time{}
 	for _, a := range w.accusedParts() {
@@ -72,12 +72,26 @@
 	return view, next
 }
 
+// accusedServers returns the crashes that are not refuted.
+func (w *World) accusedServers() map[CrashID]bool {
+	servers := make(map[CrashID]bool)
+	w.crashes.Each(func(id CrashID, row *crashRow) {
+		if !row.refuted {
+			servers[id] = true
+		}
+	})
+	return servers
+}
+
 // accusedParts returns the accused parts in the order in which crashes are attributed to
 // them.
 func (w *World) accusedParts() []*accused {
 	byPart := make(map[Part]*accused)
 	var parts []*accused
 	w.crashes.Each(func(id CrashID, row *crashRow) {
+		if row.refuted {
+			return
+		}
 		for _, prompt := range row.suspects {
 			for depth, part := range prompt {
 				if slices.Contains(row.acquitted, part) {
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -31,6 +31,7 @@
 type View struct {
 	verdicts []Verdict
 	suspects map[Part]bool
+	accused  map[CrashID]bool // incarnations of servers that are believed to have crashed
 }
 
 // NewView returns a view with the given verdicts and without suspect parts.
@@ -41,7 +42,7 @@
 	if len(v.verdicts) == 0 {
 		return v
 	}
-	later := &View{verdicts: slices.Clone(v.verdicts), suspects: v.suspects}
+	later := &View{verdicts: slices.Clone(v.verdicts), suspects: v.suspects, accused: v.accused}
 	for i := range later.verdicts {
 		later.verdicts[i].left = later.verdicts[i].until.Sub(now)
 	}
@@ -65,6 +66,10 @@
 // it then matters.
 func (v *View) Suspect(part Part) bool { return v.suspects[part] }
 
+// Crashed reports whether an incarnation of a server is believed to have crashed. An answer
+// to a request that is sent to it afterwards refutes that.
+func (v *View) Crashed(id CrashID) bool { return v.accused[id] }
+
 // verdict returns the verdict on a part.
 func (v *View) verdict(part Part) (Verdict, bool) {
 	for _, verdict := range v.verdicts {
--- a/core/quarantine/world.go
+++ b/core/quarantine/world.go
@@ -118,6 +118,13 @@
 	})
 }
 
+// Refute records that a server answered after its crash was known: it did not crash.
+func (w *World) Refute(now time.Time, id CrashID) {
+	if w.crashes.Get(id) != nil {
+		w.Report(now, NewCrash(id, 0, nil, nil).AsRefuted())
+	}
+}
+
 // Since returns the crashes that changed after a version of this world.
 func (w *World) Since(now time.Time, version uint64) []Crash {
 	return w.changed(now, func(row *crashRow) bool { return row.version > version })
--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -78,6 +78,44 @@
 	}
 }
 
+// TestRefutedCrashesDoNotCount guards against parts that are rejected because a cut link
+// looked like crashes.
+func TestRefutedCrashesDoNotCount(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		refuted int // of five crashes
+		rejects bool
+	}{
+		{"none", 0, true},
+		{"some", 2, true},
+		{"too many", 3, false},
+		{"all", 5, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			w, other := New(1), New(2)
+			for n := range 5 {
+				w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"deadly"}}, nil))
+			}
+			other.Merge(now, w.Since(now, 0))
+			for n := range test.refuted {
+				w.Refute(now, NewCrashID(fmt.Sprint("b", n), 1))
+			}
+			w.Refute(now, NewCrashID("unknown", 1))
+			other.Merge(now, w.LocalSince(now, 5))
+			now = now.Add(firstPartSettleTime)
+			for _, world := range []*World{w, other} {
+				world.Run(now)
+				_, rejects := world.View().Rejects(Prompt{"deadly"})
+				c.Check(rejects, qt.Equals, test.rejects)
+				c.Check(world.View().Crashed(NewCrashID("b0", 1)), qt.Equals, test.refuted == 0)
+				c.Check(world.View().Crashed(NewCrashID("b4", 1)), qt.Equals, test.refuted < 5)
+			}
+		})
+	}
+}
+
 // TestEvidenceOfManyInstances checks that instances that each saw one crash reach the
 // same verdict, in whatever order and how often they tell each other.
 func TestEvidenceOfManyInstances(t *testing.T) {
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,16 +161,23 @@
 		entry.WithObserver(metrics().requestEnded, metrics().attemptEnded),
 		entry.WithQuarantine(p.checkCrash,
 			func(c quarantine.Crash) { p.inbox.Post(cluster.ServerCrashed(c)) },
-			func(parts []quarantine.Part) { p.inbox.Post(cluster.AnswerBegan(parts)) }),
+			func(parts []quarantine.Part) { p.inbox.Post(cluster.AnswerBegan(parts)) },
+			func(id quarantine.CrashID) { p.inbox.Post(cluster.ServerAnswered(id)) }),
 		entry.WithProbe(func(backend, address string) {
 			go func() { p.traffic.Post(entry.ProbeEnded(backend, p.forward.CanConnect(context.Background(), address))) }()
 		}))
 }
 
-// checkCrash tells the traffic thread whether a backend server refuses connections.
-func (p *Process) checkCrash(id quarantine.CrashID, address string) {
+// checkCrash tells the traffic thread whether a backend server refuses connections while
+// one of the others, if there are any, accepts them.
+func (p *Process) checkCrash(id quarantine.CrashID, address string, others []string) {
 	go func() {
-		p.traffic.Post(entry.CrashChecked(id, p.forward.Refuses(context.Background(), address)))
+		ctx := context.Background()
+		crashed := p.forward.Refuses(ctx, address)
+		if crashed && len(others) > 0 {
+			crashed = slices.ContainsFunc(others, func(other string) bool { return p.forward.CanConnect(ctx, other) })
+		}
+		p.traffic.Post(entry.CrashChecked(id, crashed))
 	}()
 }
 
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -28,7 +28,7 @@
 	members := []ledger.Member{ledger.NewMember("a#1", "a", true)}
 	node := directory.NewInstance("a:1", "n", "z", directory.RoleStore, 5, directory.WithRevision(2), directory.WithReplica("a#1", true), directory.WithTerm(4))
 	backend := member.NewBackend("b", "b:1", "z", member.ProtocolEngine, 8, 3, 4, member.WithServices("s"), member.WithLeaving(true))
-	crashed := quarantine.NewCrash(quarantine.NewCrashID("b", 7), time.Second, []quarantine.Prompt{{"s/1", "s/2"}}, []quarantine.Part{"s/1"})
+	crashed := quarantine.NewCrash(quarantine.NewCrashID("b", 7), time.Second, []quarantine.Prompt{{"s/1", "s/2"}}, []quarantine.Part{"s/1"}).AsRefuted()
 	for _, test := range []struct {
 		name  string
 		check func(c *qt.C)
--- a/io/record/evidence.go
+++ b/io/record/evidence.go
@@ -17,6 +17,7 @@
 	AgeMS       int64
 	Suspects    []quarantine.Prompt
 	Acquitted   []quarantine.Part
+	Refuted     bool
 }
 
 // toCrashes returns the wire format of crashes.
@@ -24,7 +25,7 @@
 	out := make([]crash, 0, len(crashes))
 	for _, c := range crashes {
 		out = append(out, crash{Backend: c.ID().Backend(), Incarnation: c.ID().Incarnation(), AgeMS: c.Age().Milliseconds(),
-			Suspects: c.Suspects(), Acquitted: c.Acquitted()})
+			Suspects: c.Suspects(), Acquitted: c.Acquitted(), Refuted: c.Refuted()})
 	}
 	return out
 }
@@ -34,7 +35,11 @@
 	out := make([]quarantine.Crash, 0, len(wire))
 	for _, c := range wire {
 		age := time.Duration(max(c.AgeMS, 0)) * time.Millisecond
-		out = append(out, quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Acquitted))
+		row := quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Acquitted)
+		if c.Refuted {
+			row = row.AsRefuted()
+		}
+		out = append(out, row)
 	}
 	return out
 }
