Verdicts on crash evidence are derived at most once in 50 ms

Callers saw: nothing yet. Cause: the cost grows with the size of the table, and the number of judgements with the evidence. Ruled out: incremental verdicts (attribution depends on all crashes). Change: one judgement in 50 ms at most, 8 prompts for each crash, and no search for a crash that was just added. Test: TestJudgementsAreBounded failed before (100 judgements for 100 crashes).

--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -14,7 +14,7 @@
 
 // Limits of a crash. Further prompts and parts are dropped.
 const (
-	maxPromptsPerCrash = 16
+	maxPromptsPerCrash = 8
 	maxPartsPerPrompt  = 8
 )
 
--- a/core/quarantine/system_judge.go
+++ b/core/quarantine/system_judge.go
@@ -103,7 +103,7 @@
 					byPart[part], parts = a, append(parts, a)
 				}
 				a.depth = max(a.depth, depth)
-				if !slices.Contains(a.crashes, id) {
+				if n := len(a.crashes); n == 0 || a.crashes[n-1] != id {
 					a.crashes = append(a.crashes, id)
 				}
 			}
--- a/core/quarantine/world.go
+++ b/core/quarantine/world.go
@@ -13,6 +13,7 @@
 	maxCrashes     = 256              // the oldest are deleted first
 	crashRetention = 10 * time.Minute // age at which a crash is deleted
 	expiryInterval = time.Second
+	judgeInterval  = 50 * time.Millisecond // between judgements of changed evidence
 )
 
 // World holds the crashes that one instance knows and the verdicts that follow from
@@ -27,6 +28,7 @@
 	nextJudge    time.Time // when a verdict comes into force or ends, zero for never
 	nextExpiry   time.Time
 	judged       uint64 // version at the last judgement
+	judgedAt     time.Time
 }
 
 // Option sets an optional parameter of a world.
@@ -151,10 +153,14 @@
 func (w *World) Run(now time.Time) bool {
 	w.expire(now)
 	due := !w.nextJudge.IsZero() && !now.Before(w.nextJudge)
-	if w.judged == w.version && !due {
+	switch {
+	case w.judged == w.version && !due:
+		return false
+	case now.Before(w.judgedAt.Add(judgeInterval)):
+		w.nextJudge = w.judgedAt.Add(judgeInterval)
 		return false
 	}
-	w.judged = w.version
+	w.judged, w.judgedAt = w.version, now
 	previous := w.view
 	w.view, w.nextJudge = w.judge(now)
 	w.logChanges(now, previous)
--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -147,6 +147,30 @@
 	}
 }
 
+// TestJudgementsAreBounded checks that a burst of evidence does not cause a judgement for
+// each crash, and that none is forgotten.
+func TestJudgementsAreBounded(t *testing.T) {
+	const burst, step = 100, time.Millisecond
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	w := New(1)
+	judgements := 0
+	for n := range burst {
+		w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"first", "deadly"}}, nil))
+		if w.Run(now) {
+			judgements++
+		}
+		now = now.Add(step)
+	}
+	c.Assert(judgements <= 1+int(burst*step/judgeInterval), qt.IsTrue, qt.Commentf("%d judgements", judgements))
+	for next, ok := w.Next(); ok && next.Before(now.Add(settleTime)); next, ok = w.Next() {
+		w.Run(next)
+	}
+	verdict, ok := w.View().Rejects(Prompt{"deadly"})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(verdict.Crashes(), qt.Equals, burst)
+}
+
 // TestBoundedTable checks that the number of crashes and of prompts is bounded.
 func TestBoundedTable(t *testing.T) {
 	c := qt.New(t)
