Usual terms in the quarantine of parts

Ruled out: other changes of the code. Change: rejection, exclude, candidate, attribute, poison part; files and tests renamed.

--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -19,7 +19,7 @@
 	attempt        *runner.AttemptReport
 	usage          *usage.Report
 	crash          *quarantine.Crash
-	acquitted      []quarantine.Part
+	excluded       []quarantine.Part
 	answered       *quarantine.CrashID
 	seeds          []string
 	reportTransfer func(leading int)
@@ -52,7 +52,7 @@
 func ServerCrashed(c quarantine.Crash) Input { return Input{crash: &c} }
 
 // AnswerBegan reports that an answer began on suspect parts.
-func AnswerBegan(parts []quarantine.Part) Input { return Input{acquitted: parts} }
+func AnswerBegan(parts []quarantine.Part) Input { return Input{excluded: parts} }
 
 // ServerAnswered reports that a backend server that was believed to have crashed answered.
 func ServerAnswered(id quarantine.CrashID) Input { return Input{answered: &id} }
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -33,9 +33,9 @@
 		w.loadReporter.setReport(*input.usage)
 	case input.crash != nil && w.quarantine != nil:
 		w.quarantine.Report(now, *input.crash)
-	case len(input.acquitted) > 0 && w.quarantine != nil:
-		for _, part := range input.acquitted {
-			w.quarantine.Acquit(now, part)
+	case len(input.excluded) > 0 && w.quarantine != nil:
+		for _, part := range input.excluded {
+			w.quarantine.Exclude(now, part)
 		}
 	case input.answered != nil && w.quarantine != nil:
 		w.quarantine.Refute(now, *input.answered)
--- a/core/cluster/system_quarantine.go
+++ b/core/cluster/system_quarantine.go
@@ -60,7 +60,7 @@
 	return quarantine.New(w.self.Incarnation(), quarantine.WithLogger(w.logger))
 }
 
-// runQuarantine updates the verdicts and exchanges evidence with the upstreams.
+// runQuarantine updates the rejections and exchanges evidence with the upstreams.
 func (w *World) runQuarantine(now time.Time) {
 	if w.quarantine == nil {
 		return
--- a/core/cluster/system_quarantine_test.go
+++ b/core/cluster/system_quarantine_test.go
@@ -15,7 +15,7 @@
 // with a part that crashed backend servers under the requests of others (BUDGET).
 func TestEntriesShareCrashEvidence(t *testing.T) {
 	const contactTime = 3 * time.Second // within which all instances in contact must know
-	prompt := quarantine.Prompt{"s/first", "s/deadly"}
+	prompt := quarantine.Prompt{"s/first", "s/poison"}
 	for _, test := range []struct {
 		name    string
 		disturb func(s *testSystem) // after the crashes were reported
@@ -47,13 +47,13 @@
 			}
 			if test.began {
 				entry := s.instance("e0")
-				entry.inbox = append(entry.inbox, AnswerBegan([]quarantine.Part{"s/deadly", "s/first"}))
+				entry.inbox = append(entry.inbox, AnswerBegan([]quarantine.Part{"s/poison", "s/first"}))
 			}
 			test.disturb(s)
 			test.restore(s)
 			s.run(contactTime)
 			for _, address := range []string{"e0", "e1"} {
-				_, rejects := s.instance(address).snapshot.Quarantine().Rejects(quarantine.Prompt{"s/other", "s/deadly"})
+				_, rejects := s.instance(address).snapshot.Quarantine().Rejects(quarantine.Prompt{"s/other", "s/poison"})
 				s.c.Check(rejects, qt.Equals, test.rejects, qt.Commentf("%s", address))
 				_, rejects = s.instance(address).snapshot.Quarantine().Rejects(quarantine.Prompt{"s/first", "s/sound"})
 				s.c.Check(rejects, qt.IsFalse)
--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -16,13 +16,13 @@
 // WithQuarantine sets the functions that connect the world with the crash evidence.
 // checkCrash starts a check whether a server refuses connections although one of the
 // given other servers of its data centre accepts them; it must not block, and the result is
-// passed to the world by CrashChecked. reportCrash receives each crash. acquit receives
+// passed to the world by CrashChecked. reportCrash receives each crash. exclude receives
 // suspect parts on which an answer began. refute receives a server that was believed to
 // have crashed and answers.
 func WithQuarantine(checkCrash func(id quarantine.CrashID, address string, others []string), reportCrash func(quarantine.Crash),
-	acquit func([]quarantine.Part), refute func(quarantine.CrashID)) Option {
+	exclude func([]quarantine.Part), refute func(quarantine.CrashID)) Option {
 	return func(w *World) {
-		w.checkCrash, w.reportCrash, w.acquit, w.refute = checkCrash, reportCrash, acquit, refute
+		w.checkCrash, w.reportCrash, w.exclude, w.refute = checkCrash, reportCrash, exclude, refute
 	}
 }
 
@@ -56,13 +56,13 @@
 
 // rejectQuarantined ends a request with a quarantined part and reports whether it did.
 func (w *World) rejectQuarantined(now time.Time, number uint64, row *requestRow) bool {
-	verdict, ok := w.snapshot().Quarantine().Rejects(row.request.sharedParts)
+	rejection, ok := w.snapshot().Quarantine().Rejects(row.request.sharedParts)
 	if !ok {
 		return false
 	}
-	event.QuarantinedRequestRejected.Log(w.logger, "request", row.request.id, "part", string(verdict.Part()), "crashes", verdict.Crashes(),
-		"backends", verdict.Backends(), "ends_in_ms", verdict.TimeLeft().Milliseconds())
-	w.endUnanswered(now, number, row, "quarantined part", verdict.TimeLeft())
+	event.QuarantinedRequestRejected.Log(w.logger, "request", row.request.id, "part", string(rejection.Part()), "crashes", rejection.Crashes(),
+		"backends", rejection.Backends(), "ends_in_ms", rejection.TimeLeft().Milliseconds())
+	w.endUnanswered(now, number, row, "quarantined part", rejection.TimeLeft())
 	return true
 }
 
@@ -105,13 +105,13 @@
 	if row.believedCrashed {
 		w.refute(quarantine.NewCrashID(row.backend, row.incarnation))
 	}
-	var acquitted []quarantine.Part
+	var excluded []quarantine.Part
 	for _, part := range row.request.sharedParts {
 		if w.snapshot().Quarantine().Suspect(part) {
-			acquitted = append(acquitted, part)
+			excluded = append(excluded, part)
 		}
 	}
-	if len(acquitted) > 0 {
-		w.acquit(acquitted)
+	if len(excluded) > 0 {
+		w.exclude(excluded)
 	}
 }
--- a/core/entry/system_crash_test.go
+++ b/core/entry/system_crash_test.go
@@ -78,7 +78,7 @@
 		later  Action // for one that was lost on a server before the part was quarantined
 		began  []quarantine.Part
 	}{
-		{"deadly part", quarantine.Prompt{"s/first", "s/deadly"}, ActionReject, ActionFail, nil},
+		{"poison part", quarantine.Prompt{"s/first", "s/poison"}, ActionReject, ActionFail, nil},
 		{"same first part", quarantine.Prompt{"s/first", "s/sound"}, ActionSend, ActionSend, []quarantine.Part{"s/first"}},
 		{"no parts", nil, ActionSend, ActionSend, nil},
 	} {
@@ -91,7 +91,7 @@
 			number := e.last().Number()
 			evidence := quarantine.New(1)
 			for _, backend := range []string{"x0", "x1", "x2"} {
-				evidence.Report(e.now, quarantine.NewCrash(quarantine.NewCrashID(backend, 1), 0, []quarantine.Prompt{{"s/first", "s/deadly"}}, nil))
+				evidence.Report(e.now, quarantine.NewCrash(quarantine.NewCrashID(backend, 1), 0, []quarantine.Prompt{{"s/first", "s/poison"}}, nil))
 			}
 			evidence.Run(e.now.Add(2 * time.Second))
 			e.snapshot = e.snapshot.WithQuarantine(evidence.View())
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -42,7 +42,7 @@
 	observeAttempt func(AttemptStatus)
 	checkCrash     func(id quarantine.CrashID, address string, others []string)
 	reportCrash    func(quarantine.Crash)
-	acquit         func([]quarantine.Part)
+	exclude        func([]quarantine.Part)
 	refute         func(quarantine.CrashID)
 	dataCentre     string
 
@@ -92,7 +92,7 @@
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
-		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, acquit: func([]quarantine.Part) {},
+		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {},
 		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
--- a/core/quarantine/bench_test.go
+++ b/core/quarantine/bench_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// BenchmarkJudge measures the verdicts of a table of the given number of crashes, each
+// BenchmarkAttribute measures the rejections of a table of the given number of crashes, each
 // with the maximum number of prompts of three parts.
-func BenchmarkJudge(b *testing.B) {
+func BenchmarkAttribute(b *testing.B) {
 	for _, crashes := range []int{16, 64, maxCrashes} {
 		b.Run(fmt.Sprint(crashes, " crashes"), func(b *testing.B) {
 			now := time.Unix(1000, 0)
@@ -22,7 +22,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				w.judge(now)
+				w.attribute(now)
 			}
 		})
 	}
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -4,7 +4,7 @@
 //
 // The evidence is a table of crashes. Every instance that takes part holds it and merges
 // the rows of others: a row only grows, so the order of messages and their repetition do
-// not matter. Each instance derives the same verdicts from the same rows.
+// not matter. Each instance derives the same rejections from the same rows.
 package quarantine
 
 import (
@@ -47,18 +47,18 @@
 // Crash is what is known about a crash. The requests whose answers had begun cannot have
 // caused it and are not listed.
 type Crash struct {
-	id        CrashID
-	age       time.Duration
-	suspects  []Prompt
-	acquitted []Part
-	refuted   bool
+	id       CrashID
+	age      time.Duration
+	suspects []Prompt
+	excluded []Part
+	refuted  bool
 }
 
 // NewCrash returns a crash that happened age ago. suspects are the prompts of the
-// requests that it took whose answers had not begun; on the acquitted parts answers began
+// requests that it took whose answers had not begun; on the excluded parts answers began
 // after the crash was known.
-func NewCrash(id CrashID, age time.Duration, suspects []Prompt, acquitted []Part) Crash {
-	return Crash{id: id, age: age, suspects: suspects, acquitted: acquitted}
+func NewCrash(id CrashID, age time.Duration, suspects []Prompt, excluded []Part) Crash {
+	return Crash{id: id, age: age, suspects: suspects, excluded: excluded}
 }
 
 // AsRefuted returns the crash with the information that it did not happen: the server
@@ -77,8 +77,8 @@
 // Suspects returns the prompts of the requests that may have caused the crash.
 func (c Crash) Suspects() []Prompt { return c.suspects }
 
-// Acquitted returns the parts that cannot have caused the crash.
-func (c Crash) Acquitted() []Part { return c.acquitted }
+// Excluded returns the parts that cannot have caused the crash.
+func (c Crash) Excluded() []Part { return c.excluded }
 
 // Refuted reports whether the server answered after the crash, so that it did not crash.
 func (c Crash) Refuted() bool { return c.refuted }
@@ -86,7 +86,7 @@
 // crashRow is a crash in the table.
 type crashRow struct {
 	suspects     []Prompt
-	acquitted    []Part
+	excluded     []Part
 	refuted      bool
 	happenedAt   time.Time
 	learnedAt    time.Time // when the crash became known here
@@ -106,9 +106,9 @@
 			r.suspects, changed = append(r.suspects, prompt), true
 		}
 	}
-	for _, part := range c.acquitted {
-		if r.names(part) && !slices.Contains(r.acquitted, part) {
-			r.acquitted, changed = append(r.acquitted, part), true
+	for _, part := range c.excluded {
+		if r.names(part) && !slices.Contains(r.excluded, part) {
+			r.excluded, changed = append(r.excluded, part), true
 		}
 	}
 	return changed
@@ -121,7 +121,7 @@
 
 // crash returns the row as a message.
 func (r *crashRow) crash(now time.Time, id CrashID) Crash {
-	c := NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.acquitted))
+	c := NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.excluded))
 	c.refuted = r.refuted
 	return c
 }
--- a/core/quarantine/system_judge.go
+++ b/core/quarantine/system_attribute.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// Thresholds of a verdict.
+// Thresholds of a rejection.
 const (
 	explainingCrashes = 2 // crashes that a part must share to explain them in place of the parts before it
 	minCrashes        = 3 // crashes before a part is quarantined
 	provenCrashes     = 5 // crashes after which a quarantine is long
 
-	// An answer that begins on a part after a crash acquits it. A verdict waits that long
+	// An answer that begins on a part after a crash excludes it. A rejection waits that long
 	// for answers; longer for a first part, which many prompts share.
 	settleTime          = 300 * time.Millisecond
 	firstPartSettleTime = time.Second
@@ -23,26 +23,26 @@
 	maxLoggedBackends = 8
 )
 
-// accused is a part that may have caused crashes.
-type accused struct {
+// candidate is a part that may have caused crashes.
+type candidate struct {
 	part    Part
 	depth   int // highest position in the suspect prompts
 	crashes []CrashID
 }
 
-// judge derives the verdicts from the crashes. It also returns when the verdicts change
+// attribute derives the rejections from the crashes. It also returns when the rejections change
 // next without new evidence, zero for never.
 //
-// A crash has one cause, but all parts of the suspect prompts are accused of it. A part
+// A crash has one cause, but all parts of the suspect prompts are candidates. A part
 // further back in the prompts is more specific: a crash is attributed to the last part
 // that shares it with another crash, and among parts at the same position to the one with
 // the most crashes. So the first part of a prompt is blamed only for crashes under prompts
 // that have nothing else in common.
-func (w *World) judge(now time.Time) (*View, time.Time) {
-	view := &View{suspects: make(map[Part]bool), accused: w.accusedServers()}
+func (w *World) attribute(now time.Time) (*View, time.Time) {
+	view := &View{suspects: make(map[Part]bool), crashed: w.crashedServers()}
 	explained := make(map[CrashID]bool)
 	next := time.Time{}
-	for _, a := range w.accusedParts() {
+	for _, a := range w.candidateParts() {
 		view.suspects[a.part] = true
 		crashes := slices.DeleteFunc(a.crashes, func(id CrashID) bool { return explained[id] })
 		if len(crashes) < explainingCrashes {
@@ -55,13 +55,13 @@
 			continue
 		}
 		from, until := w.span(a, crashes)
-		verdict := Verdict{part: a.part, crashes: len(crashes), until: until, left: until.Sub(now), backends: backendsOf(crashes)}
+		rejection := Rejection{part: a.part, crashes: len(crashes), until: until, left: until.Sub(now), backends: backendsOf(crashes)}
 		change := until
 		switch {
 		case now.Before(from):
 			change = from
 		case now.Before(until):
-			view.verdicts = append(view.verdicts, verdict)
+			view.rejections = append(view.rejections, rejection)
 		default:
 			continue
 		}
@@ -72,8 +72,8 @@
 	return view, next
 }
 
-// accusedServers returns the crashes that are not refuted.
-func (w *World) accusedServers() map[CrashID]bool {
+// crashedServers returns the crashes that are not refuted.
+func (w *World) crashedServers() map[CrashID]bool {
 	servers := make(map[CrashID]bool)
 	w.crashes.Each(func(id CrashID, row *crashRow) {
 		if !row.refuted {
@@ -83,23 +83,23 @@
 	return servers
 }
 
-// accusedParts returns the accused parts in the order in which crashes are attributed to
+// candidateParts returns the candidates in the order in which crashes are attributed to
 // them.
-func (w *World) accusedParts() []*accused {
-	byPart := make(map[Part]*accused)
-	var parts []*accused
+func (w *World) candidateParts() []*candidate {
+	byPart := make(map[Part]*candidate)
+	var parts []*candidate
 	w.crashes.Each(func(id CrashID, row *crashRow) {
 		if row.refuted {
 			return
 		}
 		for _, prompt := range row.suspects {
 			for depth, part := range prompt {
-				if slices.Contains(row.acquitted, part) {
+				if slices.Contains(row.excluded, part) {
 					continue
 				}
 				a := byPart[part]
 				if a == nil {
-					a = &accused{part: part}
+					a = &candidate{part: part}
 					byPart[part], parts = a, append(parts, a)
 				}
 				a.depth = max(a.depth, depth)
@@ -109,14 +109,14 @@
 			}
 		}
 	})
-	slices.SortFunc(parts, func(a, b *accused) int {
+	slices.SortFunc(parts, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part))
 	})
 	return parts
 }
 
 // span returns from when and until when a part is quarantined for the given crashes.
-func (w *World) span(a *accused, crashes []CrashID) (from, until time.Time) {
+func (w *World) span(a *candidate, crashes []CrashID) (from, until time.Time) {
 	var learned []time.Time
 	last := time.Time{}
 	for _, id := range crashes {
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Verdict says that requests with a part are rejected.
-type Verdict struct {
+// Rejection says that requests with a part are rejected.
+type Rejection struct {
 	part     Part
 	crashes  int
 	backends []string
@@ -15,51 +15,51 @@
 }
 
 // Part returns the rejected part.
-func (v Verdict) Part() Part { return v.part }
+func (v Rejection) Part() Part { return v.part }
 
 // Crashes returns the number of crashes that the part explains.
-func (v Verdict) Crashes() int { return v.crashes }
+func (v Rejection) Crashes() int { return v.crashes }
 
 // Backends returns the ids of the first backend servers that crashed, at most
 // maxLoggedBackends.
-func (v Verdict) Backends() []string { return v.backends }
+func (v Rejection) Backends() []string { return v.backends }
 
-// TimeLeft returns the time until the end of the verdict, from when the view was made.
-func (v Verdict) TimeLeft() time.Duration { return v.left }
+// TimeLeft returns the time until the end of the rejection, from when the view was made.
+func (v Rejection) TimeLeft() time.Duration { return v.left }
 
-// View holds the verdicts in force and the suspect parts. It never changes.
+// View holds the rejections in force and the suspect parts. It never changes.
 type View struct {
-	verdicts []Verdict
-	suspects map[Part]bool
-	accused  map[CrashID]bool // incarnations of servers that are believed to have crashed
+	rejections []Rejection
+	suspects   map[Part]bool
+	crashed    map[CrashID]bool // incarnations of servers that are believed to have crashed
 }
 
-// NewView returns a view with the given verdicts and without suspect parts.
-func NewView(verdicts []Verdict) *View { return &View{verdicts: verdicts} }
+// NewView returns a view with the given rejections and without suspect parts.
+func NewView(rejections []Rejection) *View { return &View{rejections: rejections} }
 
 // At returns the view with the times left at a later time.
 func (v *View) At(now time.Time) *View {
-	if len(v.verdicts) == 0 {
+	if len(v.rejections) == 0 {
 		return v
 	}
-	later := &View{verdicts: slices.Clone(v.verdicts), suspects: v.suspects, accused: v.accused}
-	for i := range later.verdicts {
-		later.verdicts[i].left = later.verdicts[i].until.Sub(now)
+	later := &View{rejections: slices.Clone(v.rejections), suspects: v.suspects, crashed: v.crashed}
+	for i := range later.rejections {
+		later.rejections[i].left = later.rejections[i].until.Sub(now)
 	}
 	return later
 }
 
-// Verdicts returns the verdicts in force.
-func (v *View) Verdicts() []Verdict { return v.verdicts }
+// Rejections returns the rejections in force.
+func (v *View) Rejections() []Rejection { return v.rejections }
 
-// Rejects returns the verdict on a prompt, if one of its parts is quarantined.
-func (v *View) Rejects(prompt Prompt) (Verdict, bool) {
+// Rejects returns the rejection on a prompt, if one of its parts is quarantined.
+func (v *View) Rejects(prompt Prompt) (Rejection, bool) {
 	for _, part := range prompt {
-		if verdict, ok := v.verdict(part); ok {
-			return verdict, true
+		if rejection, ok := v.rejection(part); ok {
+			return rejection, true
 		}
 	}
-	return Verdict{}, false
+	return Rejection{}, false
 }
 
 // Suspect reports whether a part may have caused a known crash. An answer that begins on
@@ -68,14 +68,14 @@
 
 // Crashed reports whether an incarnation of a server is believed to have crashed. An answer
 // to a request that is sent to it afterwards refutes that.
-func (v *View) Crashed(id CrashID) bool { return v.accused[id] }
+func (v *View) Crashed(id CrashID) bool { return v.crashed[id] }
 
-// verdict returns the verdict on a part.
-func (v *View) verdict(part Part) (Verdict, bool) {
-	for _, verdict := range v.verdicts {
-		if verdict.part == part {
-			return verdict, true
+// rejection returns the rejection on a part.
+func (v *View) rejection(part Part) (Rejection, bool) {
+	for _, rejection := range v.rejections {
+		if rejection.part == part {
+			return rejection, true
 		}
 	}
-	return Verdict{}, false
+	return Rejection{}, false
 }
--- a/core/quarantine/world.go
+++ b/core/quarantine/world.go
@@ -10,25 +10,25 @@
 
 // Bounds of the table.
 const (
-	maxCrashes     = 256              // the oldest are deleted first
-	crashRetention = 10 * time.Minute // age at which a crash is deleted
-	expiryInterval = time.Second
-	judgeInterval  = 50 * time.Millisecond // between judgements of changed evidence
+	maxCrashes          = 256              // the oldest are deleted first
+	crashRetention      = 10 * time.Minute // age at which a crash is deleted
+	expiryInterval      = time.Second
+	attributionInterval = 50 * time.Millisecond // between attributions of changed evidence
 )
 
-// World holds the crashes that one instance knows and the verdicts that follow from
+// World holds the crashes that one instance knows and the rejections that follow from
 // them. Only the control thread may use it.
 type World struct {
-	epoch        uint64
-	version      uint64
-	localVersion uint64 // of the last change that was observed here
-	logger       *slog.Logger
-	crashes      *table.Table[CrashID, crashRow]
-	view         *View
-	nextJudge    time.Time // when a verdict comes into force or ends, zero for never
-	nextExpiry   time.Time
-	judged       uint64 // version at the last judgement
-	judgedAt     time.Time
+	epoch             uint64
+	version           uint64
+	localVersion      uint64 // of the last change that was observed here
+	logger            *slog.Logger
+	crashes           *table.Table[CrashID, crashRow]
+	view              *View
+	nextAttribution   time.Time // when a rejection comes into force or ends, zero for never
+	nextExpiry        time.Time
+	attributedVersion uint64 // version at the last attribution
+	attributedAt      time.Time
 }
 
 // Option sets an optional parameter of a world.
@@ -54,10 +54,10 @@
 func (w *World) Version() uint64 { return w.version }
 
 // LocalVersion returns the number of the last change that was observed here, by Report
-// or Acquit.
+// or Exclude.
 func (w *World) LocalVersion() uint64 { return w.localVersion }
 
-// View returns the present verdicts. It is replaced, not changed, by Run.
+// View returns the present rejections. It is replaced, not changed, by Run.
 func (w *World) View() *View { return w.view }
 
 // Report adds a crash that this instance observed.
@@ -110,9 +110,9 @@
 	w.crashes.Remove(oldest)
 }
 
-// Acquit records that an answer began on a part: it did not cause the crashes that are
+// Exclude records that an answer began on a part: it did not cause the crashes that are
 // known now.
-func (w *World) Acquit(now time.Time, part Part) {
+func (w *World) Exclude(now time.Time, part Part) {
 	w.crashes.Each(func(id CrashID, row *crashRow) {
 		if row.names(part) {
 			w.Report(now, NewCrash(id, 0, nil, []Part{part}))
@@ -149,20 +149,20 @@
 	return crashes
 }
 
-// Run deletes old crashes and updates the verdicts. It reports whether the view changed.
+// Run deletes old crashes and updates the rejections. It reports whether the view changed.
 func (w *World) Run(now time.Time) bool {
 	w.expire(now)
-	due := !w.nextJudge.IsZero() && !now.Before(w.nextJudge)
+	due := !w.nextAttribution.IsZero() && !now.Before(w.nextAttribution)
 	switch {
-	case w.judged == w.version && !due:
+	case w.attributedVersion == w.version && !due:
 		return false
-	case now.Before(w.judgedAt.Add(judgeInterval)):
-		w.nextJudge = w.judgedAt.Add(judgeInterval)
+	case now.Before(w.attributedAt.Add(attributionInterval)):
+		w.nextAttribution = w.attributedAt.Add(attributionInterval)
 		return false
 	}
-	w.judged, w.judgedAt = w.version, now
+	w.attributedVersion, w.attributedAt = w.version, now
 	previous := w.view
-	w.view, w.nextJudge = w.judge(now)
+	w.view, w.nextAttribution = w.attribute(now)
 	w.logChanges(now, previous)
 	return true
 }
@@ -182,18 +182,18 @@
 }
 
 // Next returns when Run must be called again, and whether it must.
-func (w *World) Next() (time.Time, bool) { return w.nextJudge, !w.nextJudge.IsZero() }
+func (w *World) Next() (time.Time, bool) { return w.nextAttribution, !w.nextAttribution.IsZero() }
 
-// logChanges logs the verdicts that came into force or ended.
+// logChanges logs the rejections that came into force or ended.
 func (w *World) logChanges(now time.Time, previous *View) {
-	for _, v := range w.view.verdicts {
-		if old, ok := previous.verdict(v.part); !ok || old.crashes != v.crashes {
+	for _, v := range w.view.rejections {
+		if old, ok := previous.rejection(v.part); !ok || old.crashes != v.crashes {
 			event.PartQuarantined.Log(w.logger, "part", string(v.part), "crashes", v.crashes, "backends", v.backends,
 				"ends_in_ms", v.until.Sub(now).Milliseconds())
 		}
 	}
-	for _, v := range previous.verdicts {
-		if _, ok := w.view.verdict(v.part); !ok {
+	for _, v := range previous.rejections {
+		if _, ok := w.view.rejection(v.part); !ok {
 			event.QuarantineEnded.Log(w.logger, "part", string(v.part), "crashes", v.crashes, "expired", !now.Before(v.until))
 		}
 	}
--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -28,29 +28,29 @@
 // unique returns a part that no other prompt has.
 func unique(n int) Part { return Part(fmt.Sprint("unique", n)) }
 
-// TestDeadlyPartIsQuarantined guards against a part that crashes one backend server after
+// TestPoisonPartIsQuarantined guards against a part that crashes one backend server after
 // the other (BUDGET), and against the rejection of sound parts in the same prompts.
-func TestDeadlyPartIsQuarantined(t *testing.T) {
+func TestPoisonPartIsQuarantined(t *testing.T) {
 	for _, test := range []struct {
 		name     string
 		steps    []observation
-		wait     time.Duration // before the verdicts are read
+		wait     time.Duration // before the rejections are read
 		rejected []Part
 	}{
 		{"no crash", nil, time.Minute, nil},
-		{"two crashes", crashes(2, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), 2 * time.Second, nil},
-		{"deadly second part, one first part", crashes(3, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), 2 * time.Second, []Part{"deadly"}},
-		{"deadly second part, other first parts", crashes(3, func(n int) []Prompt { return []Prompt{{unique(n), "deadly"}} }), 2 * time.Second, []Part{"deadly"}},
-		{"sound requests beside it", crashes(4, func(n int) []Prompt { return []Prompt{{"first", unique(n)}, {"first", "deadly"}} }), 2 * time.Second, []Part{"deadly"}},
-		{"deadly first part", crashes(4, func(n int) []Prompt { return []Prompt{{"deadly", unique(n)}} }), 2 * time.Second, []Part{"deadly"}},
-		{"deadly first part, at once", crashes(3, func(n int) []Prompt { return []Prompt{{"deadly", unique(n)}} }), settleTime, nil},
-		{"two deadly parts under one first part", crashes(6, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("deadly", n%2))}} }), 2 * time.Second, []Part{"deadly0", "deadly1"}},
-		{"two deadly parts, few crashes", crashes(4, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("deadly", n%2))}} }), 2 * time.Second, nil},
+		{"two crashes", crashes(2, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), 2 * time.Second, nil},
+		{"poison second part, one first part", crashes(3, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), 2 * time.Second, []Part{"poison"}},
+		{"poison second part, other first parts", crashes(3, func(n int) []Prompt { return []Prompt{{unique(n), "poison"}} }), 2 * time.Second, []Part{"poison"}},
+		{"sound requests beside it", crashes(4, func(n int) []Prompt { return []Prompt{{"first", unique(n)}, {"first", "poison"}} }), 2 * time.Second, []Part{"poison"}},
+		{"poison first part", crashes(4, func(n int) []Prompt { return []Prompt{{"poison", unique(n)}} }), 2 * time.Second, []Part{"poison"}},
+		{"poison first part, at once", crashes(3, func(n int) []Prompt { return []Prompt{{"poison", unique(n)}} }), settleTime, nil},
+		{"two poison parts under one first part", crashes(6, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("poison", n%2))}} }), 2 * time.Second, []Part{"poison0", "poison1"}},
+		{"two poison parts, few crashes", crashes(4, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("poison", n%2))}} }), 2 * time.Second, nil},
 		{"answers began meanwhile", append(crashes(3, func(n int) []Prompt { return []Prompt{{"first", unique(n)}} }), observation{began: "first"}), 2 * time.Second, nil},
-		{"answers began before", append([]observation{{began: "deadly"}}, crashes(3, func(int) []Prompt { return []Prompt{{"first", "deadly"}} })...), 2 * time.Second, []Part{"deadly"}},
-		{"short quarantine over", crashes(3, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), shortQuarantine + time.Second, nil},
-		{"proven", crashes(5, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), shortQuarantine + time.Second, []Part{"deadly"}},
-		{"long quarantine over", crashes(5, func(int) []Prompt { return []Prompt{{"first", "deadly"}} }), longQuarantine + time.Second, nil},
+		{"answers began before", append([]observation{{began: "poison"}}, crashes(3, func(int) []Prompt { return []Prompt{{"first", "poison"}} })...), 2 * time.Second, []Part{"poison"}},
+		{"short quarantine over", crashes(3, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), shortQuarantine + time.Second, nil},
+		{"proven", crashes(5, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), shortQuarantine + time.Second, []Part{"poison"}},
+		{"long quarantine over", crashes(5, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), longQuarantine + time.Second, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -59,7 +59,7 @@
 			for n, s := range test.steps {
 				now = now.Add(s.after)
 				if s.began != "" {
-					w.Acquit(now, s.began)
+					w.Exclude(now, s.began)
 				} else {
 					w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, s.suspects, nil))
 				}
@@ -68,7 +68,7 @@
 			now = now.Add(test.wait)
 			w.Run(now)
 			var rejected []Part
-			for _, v := range w.View().Verdicts() {
+			for _, v := range w.View().Rejections() {
 				rejected = append(rejected, v.Part())
 			}
 			c.Assert(rejected, qt.DeepEquals, test.rejected)
@@ -96,7 +96,7 @@
 			now := time.Unix(1000, 0)
 			w, other := New(1), New(2)
 			for n := range 5 {
-				w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"deadly"}}, nil))
+				w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"poison"}}, nil))
 			}
 			other.Merge(now, w.Since(now, 0))
 			for n := range test.refuted {
@@ -107,7 +107,7 @@
 			now = now.Add(firstPartSettleTime)
 			for _, world := range []*World{w, other} {
 				world.Run(now)
-				_, rejects := world.View().Rejects(Prompt{"deadly"})
+				_, rejects := world.View().Rejects(Prompt{"poison"})
 				c.Check(rejects, qt.Equals, test.rejects)
 				c.Check(world.View().Crashed(NewCrashID("b0", 1)), qt.Equals, test.refuted == 0)
 				c.Check(world.View().Crashed(NewCrashID("b4", 1)), qt.Equals, test.refuted < 5)
@@ -117,14 +117,14 @@
 }
 
 // TestEvidenceOfManyInstances checks that instances that each saw one crash reach the
-// same verdict, in whatever order and how often they tell each other.
+// same rejection, in whatever order and how often they tell each other.
 func TestEvidenceOfManyInstances(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	var worlds []*World
 	for n := range 5 {
 		w := New(uint64(n + 1))
-		w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"first", "deadly"}}, nil))
+		w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"first", "poison"}}, nil))
 		worlds = append(worlds, w)
 	}
 	for range 2 {
@@ -137,9 +137,9 @@
 	now = now.Add(settleTime)
 	for _, w := range worlds {
 		w.Run(now)
-		verdict, ok := w.View().Rejects(Prompt{"other", "deadly"})
+		rejection, ok := w.View().Rejects(Prompt{"other", "poison"})
 		c.Assert(ok, qt.IsTrue)
-		c.Assert(verdict.Crashes(), qt.Equals, 5)
+		c.Assert(rejection.Crashes(), qt.Equals, 5)
 		c.Assert(w.LocalSince(now, w.LocalVersion()), qt.HasLen, 0)
 		version := w.Version()
 		w.Merge(now, worlds[0].Since(now, 0))
@@ -147,28 +147,28 @@
 	}
 }
 
-// TestJudgementsAreBounded checks that a burst of evidence does not cause a judgement for
+// TestAttributionsAreBounded checks that a burst of evidence does not cause a attribution for
 // each crash, and that none is forgotten.
-func TestJudgementsAreBounded(t *testing.T) {
+func TestAttributionsAreBounded(t *testing.T) {
 	const burst, step = 100, time.Millisecond
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	w := New(1)
-	judgements := 0
+	attributions := 0
 	for n := range burst {
-		w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"first", "deadly"}}, nil))
+		w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, []Prompt{{"first", "poison"}}, nil))
 		if w.Run(now) {
-			judgements++
+			attributions++
 		}
 		now = now.Add(step)
 	}
-	c.Assert(judgements <= 1+int(burst*step/judgeInterval), qt.IsTrue, qt.Commentf("%d judgements", judgements))
+	c.Assert(attributions <= 1+int(burst*step/attributionInterval), qt.IsTrue, qt.Commentf("%d attributions", attributions))
 	for next, ok := w.Next(); ok && next.Before(now.Add(settleTime)); next, ok = w.Next() {
 		w.Run(next)
 	}
-	verdict, ok := w.View().Rejects(Prompt{"deadly"})
+	rejection, ok := w.View().Rejects(Prompt{"poison"})
 	c.Assert(ok, qt.IsTrue)
-	c.Assert(verdict.Crashes(), qt.Equals, burst)
+	c.Assert(rejection.Crashes(), qt.Equals, burst)
 }
 
 // TestBoundedTable checks that the number of crashes and of prompts is bounded.
--- a/io/fleet/metrics_quarantine.go
+++ b/io/fleet/metrics_quarantine.go
@@ -20,7 +20,7 @@
 	}
 	expvar.Publish(quarantineMetric, expvar.Func(func() any {
 		parts := []quarantinedPart{}
-		for _, v := range p.Snapshot().Quarantine().Verdicts() {
+		for _, v := range p.Snapshot().Quarantine().Rejections() {
 			parts = append(parts, quarantinedPart{Part: string(v.Part()), Crashes: v.Crashes(), Backends: v.Backends(), EndsInMS: v.TimeLeft().Milliseconds()})
 		}
 		return parts
--- a/io/record/evidence.go
+++ b/io/record/evidence.go
@@ -16,7 +16,7 @@
 	Incarnation uint64
 	AgeMS       int64
 	Suspects    []quarantine.Prompt
-	Acquitted   []quarantine.Part
+	Excluded    []quarantine.Part
 	Refuted     bool
 }
 
@@ -25,7 +25,7 @@
 	out := make([]crash, 0, len(crashes))
 	for _, c := range crashes {
 		out = append(out, crash{Backend: c.ID().Backend(), Incarnation: c.ID().Incarnation(), AgeMS: c.Age().Milliseconds(),
-			Suspects: c.Suspects(), Acquitted: c.Acquitted(), Refuted: c.Refuted()})
+			Suspects: c.Suspects(), Excluded: c.Excluded(), Refuted: c.Refuted()})
 	}
 	return out
 }
@@ -35,7 +35,7 @@
 	out := make([]quarantine.Crash, 0, len(wire))
 	for _, c := range wire {
 		age := time.Duration(max(c.AgeMS, 0)) * time.Millisecond
-		row := quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Acquitted)
+		row := quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Excluded)
 		if c.Refuted {
 			row = row.AsRefuted()
 		}
