The relay's copy has short steps

Cause: read as a newcomer: one function of 50 lines. Change: write and brokenStatus; a sentinel is tested with errors.Is. No behaviour.

--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -9,6 +9,8 @@
 	"papayaquay/core/member"
 	"papayaquay/core/progress"
 	"papayaquay/core/runner"
+
+	"github.com/cockroachdb/errors"
 )
 
 // readInterval is the pause between two reads of an item's events. The latency of
@@ -53,7 +55,7 @@
 	meter.events = true
 	text, newLastEvent, err := collectEvents(ctx, resp.response.Body, &meter, lastEvent, counter, partial)
 	switch {
-	case err == errEndless:
+	case errors.Is(err, errEndless):
 		c.logExceeded(r.id, resp, &meter)
 	case err == io.EOF:
 		return runner.AttemptDone, text, newLastEvent
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -150,28 +150,39 @@
 			chunk = r.events.feed(chunk)
 			r.events.each(chunk, func(uint64, []byte) {})
 		}
-		if len(chunk) > 0 {
-			r.sendHeader(resp)
-			if _, writeErr := r.out.Write(chunk); writeErr != nil {
-				return entry.AttemptCallerGone
-			}
-			if r.flush() != nil {
-				return entry.AttemptCallerGone
-			}
+		if len(chunk) > 0 && !r.write(resp, chunk) {
+			return entry.AttemptCallerGone
 		}
 		switch {
 		case err == io.EOF:
 			return r.finish(resp, resumable)
-		case err != nil && ctx.Err() != nil:
-			return entry.AttemptCallerGone
-		case err != nil && !r.responseStarted:
-			return entry.AttemptLost
 		case err != nil:
-			return entry.AttemptInterrupted
+			return r.brokenStatus(ctx)
 		}
 	}
 }
 
+// write sends bytes of the body to the caller, after the header. It reports false if the
+// caller is gone.
+func (r *Relay) write(resp *backendResponse, data []byte) bool {
+	r.sendHeader(resp)
+	if _, err := r.out.Write(data); err != nil {
+		return false
+	}
+	return r.flush() == nil
+}
+
+// brokenStatus returns the status of an attempt whose body did not come to its end.
+func (r *Relay) brokenStatus(ctx context.Context) entry.AttemptStatus {
+	switch {
+	case ctx.Err() != nil:
+		return entry.AttemptCallerGone
+	case !r.responseStarted:
+		return entry.AttemptLost
+	}
+	return entry.AttemptInterrupted
+}
+
 // finish sends the bytes after the last whole event of a complete response.
 func (r *Relay) finish(resp *backendResponse, resumable bool) entry.AttemptStatus {
 	r.sendHeader(resp)
