Event 205 says what fills the memory of a ledger's instance

Change: control and store instances log their heap and the sizes of its parts every two seconds. No decision changes. Ruled out: a metric alone, since metrics of a process that ended cannot be fetched.

--- a/core/batch/state.go
+++ b/core/batch/state.go
@@ -145,6 +145,29 @@
 	return jobs
 }
 
+// Bytes returns the size in bytes of the bodies, results and partial outputs that the
+// state holds.
+func (s *State) Bytes() int {
+	size := 0
+	s.jobs.Each(func(_ string, row *Job) { size += row.bytes() })
+	return size
+}
+
+// bytes returns the size in bytes of the bodies, results and partial outputs.
+func (j Job) bytes() int {
+	size := 0
+	for _, item := range j.spec.items {
+		size += len(item.body)
+	}
+	for _, r := range j.results {
+		size += len(r.text)
+	}
+	for _, p := range j.partialOutputs {
+		size += len(p.text)
+	}
+	return size
+}
+
 // IsRetiring reports whether an instance is retiring.
 func (s *State) IsRetiring(instance string) bool { return s.retiring[instance] }
 
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -37,6 +37,7 @@
 	background func(func())
 	post       func(Input)
 	wallClock  func() time.Time // time of day
+	heapBytes  func() uint64
 
 	directory    *directory.World
 	ledgers      *ledger.World
@@ -69,6 +70,7 @@
 	publishedAt            time.Time
 	publishedVersion       uint64
 	publishedUrgentVersion uint64
+	memoryLogDue           time.Time
 	reportTransfer         func(leading int) // nil until a transfer of leadership is requested
 }
 
@@ -119,6 +121,7 @@
 		ledgers: ledger.New(self.Address()),
 		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()),
 		snapshotStale: true, now: now, wallClock: func() time.Time { return now },
+		heapBytes: func() uint64 { return 0 },
 	}
 	for _, option := range options {
 		option(w)
@@ -157,6 +160,7 @@
 	w.answerWaiting(now)
 	w.sendCalls(now)
 	w.publishSnapshot(now)
+	w.logMemory(now)
 	w.outbox.flush(w.send)
 }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -51,6 +51,7 @@
 	CommandInvalid     = Event{202, slog.LevelError, "a committed command could not be decoded"}
 	SnapshotFailed     = Event{203, slog.LevelError, "a snapshot could not be encoded"}
 	CallEncodingFailed = Event{204, slog.LevelError, "a call or its answer could not be encoded or decoded"}
+	LedgerMemory       = Event{205, slog.LevelInfo, "the memory that a ledger takes"}
 )
 
 // Events of instances, backend servers and peers.
@@ -101,7 +102,7 @@
 	return []Event{
 		Started, Draining, Stopped, ShutdownTimedOut, ListenerFailed, SettingsReloaded, SettingsRejected, SpanExportFailed,
 		DiskWriteFailed, LogTruncated, LogCorrupt, ReplicaCreated,
-		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed,
+		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong,
 		RequestEnded, AttemptStarted, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted,
--- a/core/ledger/log.go
+++ b/core/ledger/log.go
@@ -4,6 +4,7 @@
 type entryLog struct {
 	snapshot      Snapshot
 	entries       []Entry
+	bytes         int      // of the payloads of entries
 	memberChanges []uint64 // indices of the entries of kind EntryMembers
 }
 
@@ -53,6 +54,9 @@
 // follow it.
 func (l *entryLog) overwriteFrom(entry Entry) {
 	keep := entry.index - l.snapshot.index - 1
+	for _, removed := range l.entries[keep:] {
+		l.bytes -= len(removed.payload)
+	}
 	l.entries = append([]Entry(nil), l.entries[:keep]...)
 	for len(l.memberChanges) > 0 && l.memberChanges[len(l.memberChanges)-1] >= entry.index {
 		l.memberChanges = l.memberChanges[:len(l.memberChanges)-1]
@@ -63,6 +67,7 @@
 // add appends an entry at the end.
 func (l *entryLog) add(entry Entry) {
 	l.entries = append(l.entries, entry)
+	l.bytes += len(entry.payload)
 	if entry.kind == EntryMembers {
 		l.memberChanges = append(l.memberChanges, entry.index)
 	}
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -156,6 +156,25 @@
 	return row.applied - row.log.snapshot.index
 }
 
+// LogBytes returns the size in bytes of the entries that the log holds in memory.
+func (w *World) LogBytes(ledger ID) int {
+	row := w.replicas.Get(ledger)
+	if row == nil {
+		return 0
+	}
+	return row.log.bytes
+}
+
+// SnapshotBytes returns the size in bytes of the snapshot that the log holds in
+// memory.
+func (w *World) SnapshotBytes(ledger ID) int {
+	row := w.replicas.Get(ledger)
+	if row == nil {
+		return 0
+	}
+	return len(row.log.snapshot.data)
+}
+
 // Applied returns the index of the last entry that Output returned or will
 // return next.
 func (w *World) Applied(ledger ID) uint64 {
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -48,7 +48,7 @@
 	now := boottime.Now()
 	self := directory.NewInstance(s.PeerAddress(), s.Name(), s.DataCentre(), directoryRole(s.Role()), uint64(p.startedAt.UnixMicro()))
 	options := []cluster.Option{
-		cluster.WithLogger(p.logger), cluster.WithSeeds(s.Seeds()), cluster.WithWallClock(p.wallClock),
+		cluster.WithLogger(p.logger), cluster.WithSeeds(s.Seeds()), cluster.WithWallClock(p.wallClock), cluster.WithHeapBytes(heapBytes),
 		cluster.WithPersist(func(sequence uint64, records []ledger.Record) { p.store.Append(sequence, records) }),
 		cluster.WithSend(p.send), cluster.WithPublish(p.publish),
 		cluster.WithBackground(func(work func()) { go work() }, p.inbox.Post),
