Logs of ledgers are bounded in bytes as well as in entries

What callers would see: no change of the configuration is acknowledged any more, at all control instances at once, and after a restart the configuration is late. Class: a bound in numbers where the resource is bytes. The jobs ledger (2,500 entries) and the ledgers of serve had the same bound. Ruled out: a smaller number of entries (the sizes differ by a factor of 100); refusing large documents (they are valid).

--- a/core/cluster/host_registry.go
+++ b/core/cluster/host_registry.go
@@ -137,7 +137,7 @@
 func (w *World) compactLog(id ledger.ID) {
 	if w.registry != nil {
 		h := w.registry
-		if !h.encoding && w.ledgers.UncompactedEntries(id) > registryCompactEntries {
+		if !h.encoding && w.ledgers.ShouldCompact(id, registryCompactEntries) {
 			h.encoding = true
 			index := w.ledgers.Applied(id)
 			state := registry.Restore(h.state.Document(), h.state.InitialMembers(), append([]registry.LeavingBackend(nil), h.state.Leaving()...))
@@ -146,7 +146,7 @@
 		return
 	}
 	h := w.jobs
-	if !h.encoding && w.ledgers.UncompactedEntries(id) > jobsCompactEntries {
+	if !h.encoding && w.ledgers.ShouldCompact(id, jobsCompactEntries) {
 		h.encoding = true
 		index := w.ledgers.Applied(id)
 		snapshot := NewBatchSnapshot(h.state.Export(), h.state.RetiringInstances())
--- a/core/control/system_apply.go
+++ b/core/control/system_apply.go
@@ -141,12 +141,12 @@
 	event.LedgerRestored.Log(w.logger, "ledger", c.Ledger(), "index", c.Snapshot().Index())
 }
 
-// compact starts a snapshot of each ledger whose log holds at least compactAfter
-// applied entries. The state is copied on the control thread and encoded in the
+// compact starts a snapshot of each ledger whose log is long: it holds compactAfter
+// applied entries or many bytes. The state is copied on the control thread and encoded in the
 // background.
 func (w *hostWorld) compact() {
 	w.homeStates.Each(func(id ledger.ID, row *homeRow) {
-		if row.encodingSnapshot || w.ledgers.UncompactedEntries(id) < w.compactAfter {
+		if row.encodingSnapshot || !w.ledgers.ShouldCompact(id, w.compactAfter) {
 			return
 		}
 		row.encodingSnapshot = true
@@ -154,7 +154,7 @@
 		w.encode(id, index, func() ([]byte, error) { return w.codec.encodeHome(records) },
 			func() { row.encodingSnapshot = false })
 	})
-	if w.configState != nil && !w.encodingConfig && w.ledgers.UncompactedEntries(ConfigLedger) >= w.compactAfter {
+	if w.configState != nil && !w.encodingConfig && w.ledgers.ShouldCompact(ConfigLedger, w.compactAfter) {
 		w.encodingConfig = true
 		state, index := w.configState.Copy(), w.ledgers.Applied(ConfigLedger)
 		w.encode(ConfigLedger, index, func() ([]byte, error) { return w.codec.encodeConfig(state) },
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -156,6 +156,18 @@
 	return row.applied - row.log.snapshot.index
 }
 
+// ShouldCompact reports whether the applied entries should be replaced by a snapshot:
+// if there are at least maxEntries of them, or if the log takes minCompactBytes and half
+// as much as the last snapshot. So disk and memory hold no more than a multiple of the
+// state, whatever the size of an entry.
+func (w *World) ShouldCompact(ledger ID, maxEntries uint64) bool {
+	entries := w.UncompactedEntries(ledger)
+	if entries == 0 {
+		return false
+	}
+	return entries >= maxEntries || w.LogBytes(ledger) >= max(minCompactBytes, w.SnapshotBytes(ledger)/2)
+}
+
 // LogBytes returns the size in bytes of the entries that the log holds in memory.
 func (w *World) LogBytes(ledger ID) int {
 	row := w.replicas.Get(ledger)
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -28,6 +28,7 @@
 	transferRetryInterval = 5 * time.Second
 	stepDownTimeouts      = 2 // a leader steps down this many maximum election timeouts after its lease expired
 	maxRoundHistory       = 64
+	minCompactBytes       = 8 << 20                 // of entries, for a snapshot that the number of entries does not require
 	voterTimeout          = 1500 * time.Millisecond // a voter that has not replied for this time is replaced
 	learnerTimeout        = 20 * time.Second        // a learner that has not replied for this time is removed
 	spareLearners         = 2                       // learners ready to replace a voter, per ledger
