--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -10,6 +10,9 @@
 	RecordSnapshot                       // a snapshot; it replaces all entries up to its index
 )
 
+// IsValid reports whether k is the kind of a record.
+func (k RecordKind) IsValid() bool { return k >= RecordEntry && k <= RecordSnapshot }
+
 // Record is one durable change of a replica.
 type Record struct {
 	kind     RecordKind
--- a/io/disk/frame.go
+++ b/io/disk/frame.go
@@ -110,6 +110,30 @@
 	return buffer, nil
 }
 
+// CBOR encoding of the first bytes of a body: the head of a map of up to 23 keys, and
+// the key of body.Kind, whose value follows.
+const (
+	mapHead      = 0xa0
+	mapHeadMask  = 0xe0
+	kindKey      = 0x01
+	longKindHead = 0x18 // followed by a kind that is not less than 24
+)
+
+// beginsLikeFrame reports whether the content of the frame at the start of data can begin
+// a body.
+func beginsLikeFrame(data []byte) bool {
+	if len(data) < headerBytes+4 {
+		return false
+	}
+	content := data[headerBytes:]
+	kind := content[2]
+	if kind == longKindHead {
+		kind = content[3]
+	}
+	isKind := kind == kindIdentity || ledger.RecordKind(kind).IsValid()
+	return content[0]&mapHeadMask == mapHead && content[1] == kindKey && isKind
+}
+
 // readFrame decodes the frame at the start of data and returns its size in bytes.
 // The error is marked with errInvalidFrame.
 func readFrame(data []byte) (body, int, error) {
--- a/io/disk/load.go
+++ b/io/disk/load.go
@@ -89,9 +89,14 @@
 }
 
 // hasIntactRecord reports whether an intact record starts after the first byte of
-// data.
+// data. It reads only frames whose content begins like a body: the checksum of what
+// random bytes take for the size of a frame would be computed over much of the data, for
+// many of its offsets.
 func hasIntactRecord(data []byte) bool {
 	for offset := 1; offset < len(data); offset++ {
+		if !beginsLikeFrame(data[offset:]) {
+			continue
+		}
 		if b, _, err := readFrame(data[offset:]); err == nil && b.Replica != "" {
 			return true
 		}
