A log is opened record by record

What callers see: store instances end with "memory over the limit" at their restart, again and again, so the jobs ledger does not come back. Cause: each segment was read into one buffer, and each record in it copied twice. A segment may hold 64 MB of dead records besides the live ones, so opening it took up to three times its size; an instance with 154 MB could run but not restart. Class: a restart that needs more memory than the run before it. Ruled out: rewriting the log before it has so many dead records (more writes, and opening still takes multiples of the live ones). Change: records are read one at a time into a buffer that is used again; a torn end is searched in windows of 1 MiB. Tests of io/disk pass.

--- a/io/disk/frame.go
+++ b/io/disk/frame.go
@@ -1,9 +1,10 @@
 package disk
 
 import (
+	"bytes"
 	"encoding/binary"
 	"hash/crc32"
-	"math"
+	"io"
 	"slices"
 
 	"papayaquay/core/ledger"
@@ -117,12 +118,14 @@
 	mapHeadMask  = 0xe0
 	kindKey      = 0x01
 	longKindHead = 0x18 // followed by a kind that is not less than 24
+
+	frameBeginBytes = headerBytes + 4 // of a frame that beginsLikeFrame looks at
 )
 
 // beginsLikeFrame reports whether the content of the frame at the start of data can begin
 // a body.
 func beginsLikeFrame(data []byte) bool {
-	if len(data) < headerBytes+4 {
+	if len(data) < frameBeginBytes {
 		return false
 	}
 	content := data[headerBytes:]
@@ -137,19 +140,41 @@
 // readFrame decodes the frame at the start of data and returns its size in bytes.
 // The error is marked with errInvalidFrame.
 func readFrame(data []byte) (body, int, error) {
-	if len(data) < headerBytes {
+	frames := frameReader{source: bytes.NewReader(data), left: int64(len(data))}
+	return frames.next()
+}
+
+// frameReader reads frames from a source of left bytes.
+type frameReader struct {
+	source io.Reader
+	left   int64
+	buffer []byte // of the content, used again for the next frame
+}
+
+// next decodes the next frame and returns its size in bytes. The error is marked with
+// errInvalidFrame if the frame is torn or corrupt.
+func (r *frameReader) next() (body, int, error) {
+	var header [headerBytes]byte
+	if r.left < headerBytes {
 		return body{}, 0, errInvalidFrame
 	}
-	size := uint64(binary.LittleEndian.Uint32(data))
-	if size == 0 || size > maxBodyBytes || size > math.MaxInt32 || uint64(len(data)-headerBytes) < size {
+	if _, err := io.ReadFull(r.source, header[:]); err != nil {
+		return body{}, 0, errors.Wrap(err, "read frame")
+	}
+	size := int64(binary.LittleEndian.Uint32(header[:]))
+	if size == 0 || size > maxBodyBytes || r.left-headerBytes < size {
 		return body{}, 0, errInvalidFrame
 	}
-	content := data[headerBytes : headerBytes+size]
-	if crc32.Checksum(content, castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+	r.buffer = slices.Grow(r.buffer[:0], int(size))[:size]
+	if _, err := io.ReadFull(r.source, r.buffer); err != nil {
+		return body{}, 0, errors.Wrap(err, "read frame")
+	}
+	r.left -= headerBytes + size
+	if crc32.Checksum(r.buffer, castagnoli) != binary.LittleEndian.Uint32(header[4:]) {
 		return body{}, 0, errInvalidFrame
 	}
 	var b body
-	if err := record.Decode(content, &b); err != nil {
+	if err := record.Decode(r.buffer, &b); err != nil {
 		return body{}, 0, errors.Mark(err, errInvalidFrame)
 	}
 	return b, headerBytes + int(size), nil
--- a/io/disk/load.go
+++ b/io/disk/load.go
@@ -1,8 +1,9 @@
 package disk
 
 import (
-	"bytes"
+	"bufio"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -13,6 +14,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// readBufferBytes is the size of the parts in which a segment is read.
+const readBufferBytes = 1 << 20
+
 // load reads all segments in the order of their numbers.
 func (s *Store) load() error {
 	paths, err := filepath.Glob(filepath.Join(s.folder, segmentGlob))
@@ -30,10 +34,6 @@
 
 // loadSegment reads one segment. Only the last one may end in a torn record.
 func (s *Store) loadSegment(path string, last bool) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return errors.Wrap(err, "read segment")
-	}
 	f, err := os.OpenFile(path, os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "open segment")
@@ -45,25 +45,45 @@
 	if _, err := fmt.Sscanf(filepath.Base(path), "wal-%d.log", &s.segmentNumber); err != nil {
 		return errors.Wrapf(err, "segment name %s", path)
 	}
-	end, err := s.loadRecords(f, data)
+	size, err := f.Seek(0, io.SeekEnd)
 	if err != nil {
-		if !last || hasIntactRecord(data[end:]) {
-			event.LogCorrupt.Log(s.logger, "file", path, "offset", end)
-			return errors.Wrapf(ErrCorrupt, "%s at offset %d", path, end)
-		}
-		event.LogTruncated.Log(s.logger, "file", path, "offset", end, "cut", len(data)-end)
-		if err := f.Truncate(int64(end)); err != nil {
-			return errors.Wrap(err, "truncate torn record")
+		return errors.Wrap(err, "size of segment")
+	}
+	end, err := s.loadRecords(f, size)
+	if err != nil && !errors.Is(err, errInvalidFrame) {
+		return err
+	}
+	if err != nil {
+		if err := s.truncateTorn(f, path, end, size, last); err != nil {
+			return err
 		}
 	}
-	s.offset = int64(end)
-	s.totalBytes += int64(end)
+	s.offset = end
+	s.totalBytes += end
 	if last && s.nonce == "" {
 		return s.removeEmptySegment(path)
 	}
 	return nil
 }
 
+// truncateTorn truncates a segment to the offset end, at which an invalid record stands.
+// It returns ErrCorrupt if that is not the torn end of the log.
+func (s *Store) truncateTorn(f *os.File, path string, end, size int64, last bool) error {
+	corrupt := !last
+	if last {
+		var err error
+		if corrupt, err = hasIntactRecord(f, end+1, size); err != nil {
+			return err
+		}
+	}
+	if corrupt {
+		event.LogCorrupt.Log(s.logger, "file", path, "offset", end)
+		return errors.Wrapf(ErrCorrupt, "%s at offset %d", path, end)
+	}
+	event.LogTruncated.Log(s.logger, "file", path, "offset", end, "cut", size-end)
+	return errors.Wrap(f.Truncate(end), "truncate torn record")
+}
+
 // removeEmptySegment removes a segment without an identity record. No record in
 // it was ever confirmed.
 func (s *Store) removeEmptySegment(path string) error {
@@ -73,35 +93,45 @@
 }
 
 // loadRecords applies the records of a segment and returns the offset at which
-// they end.
-func (s *Store) loadRecords(f *os.File, data []byte) (int, error) {
-	offset := 0
-	for offset < len(data) {
-		b, size, err := readFrame(data[offset:])
+// they end. It reads one record at a time, since the dead records of a segment may
+// exceed the instance's memory.
+func (s *Store) loadRecords(f *os.File, size int64) (int64, error) {
+	reader := bufio.NewReaderSize(io.NewSectionReader(f, 0, size), readBufferBytes)
+	frames := frameReader{source: reader, left: size}
+	offset := int64(0)
+	for offset < size {
+		b, n, err := frames.next()
 		if err != nil {
 			return offset, err
 		}
-		b.Data = bytes.Clone(b.Data)
-		s.applyRecord(b, location{index: b.Index, offset: int64(offset), size: size, file: f}, true)
-		offset += size
+		s.applyRecord(b, location{index: b.Index, offset: offset, size: n, file: f}, true)
+		offset += int64(n)
 	}
 	return offset, nil
 }
 
-// hasIntactRecord reports whether an intact record starts after the first byte of
-// data. It reads only frames whose content begins like a body: the checksum of what
-// random bytes take for the size of a frame would be computed over much of the data, for
-// many of its offsets.
-func hasIntactRecord(data []byte) bool {
-	for offset := 1; offset < len(data); offset++ {
-		if !beginsLikeFrame(data[offset:]) {
-			continue
+// hasIntactRecord reports whether an intact record starts between the offsets from and
+// size of a file. It reads only frames whose content begins like a body: the checksum
+// of what random bytes take for the size of a frame would be computed over much of the file,
+// for many of its offsets.
+func hasIntactRecord(f *os.File, from, size int64) (bool, error) {
+	window := make([]byte, readBufferBytes)
+	for start := from; start < size; start += readBufferBytes - frameBeginBytes {
+		n, err := f.ReadAt(window, start)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return false, errors.Wrap(err, "search intact record")
 		}
-		if b, _, err := readFrame(data[offset:]); err == nil && b.Replica != "" {
-			return true
+		for i := 0; i < n; i++ {
+			if !beginsLikeFrame(window[i:n]) {
+				continue
+			}
+			frames := frameReader{source: io.NewSectionReader(f, start+int64(i), size), left: size - start - int64(i)}
+			if b, _, err := frames.next(); err == nil && b.Replica != "" {
+				return true, nil
+			}
 		}
 	}
-	return false
+	return false, nil
 }
 
 // applyRecord updates the row of a ledger with a record at a location. With
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -177,3 +178,30 @@
 		}
 	})
 }
+
+// TestOpenMemory checks that opening a log copies each record once and never holds the
+// segment as a whole, since its dead records may exceed the instance's memory.
+func TestOpenMemory(t *testing.T) {
+	const (
+		snapshots     = 32
+		snapshotBytes = 2 << 20
+		maxAllocated  = snapshots * snapshotBytes * 3 / 2
+	)
+	c := qt.New(t)
+	folder := t.TempDir()
+	store, err := Open(folder)
+	c.Assert(err, qt.IsNil)
+	for i := range snapshots {
+		snapshot := ledger.NewSnapshot(uint64(i+1), 1, nil, make([]byte, snapshotBytes))
+		store.step(time.Now(), []batch{{sequence: uint64(i + 1), records: []ledger.Record{ledger.NewSnapshotRecord("jobs", "s1#x", snapshot)}}})
+	}
+	store.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	store, err = Open(folder)
+	c.Assert(err, qt.IsNil)
+	defer store.Close()
+	runtime.ReadMemStats(&after)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	c.Assert(allocated < maxAllocated, qt.IsTrue, qt.Commentf("%d bytes for %d of records", allocated, snapshots*snapshotBytes))
+}
