--- a/core/batch/state.go
+++ b/core/batch/state.go
@@ -138,7 +138,7 @@
 	s.jobs.Each(func(_ string, row *Job) {
 		j := *row
 		j.spec.items = append([]Item(nil), j.spec.items...)
-		j.itemStatuses = nil
+		j.itemStatuses = append([]ItemStatus(nil), j.itemStatuses...)
 		j.partialOutputs = maps.Clone(j.partialOutputs)
 		jobs = append(jobs, j)
 	})
@@ -149,12 +149,12 @@
 // state holds.
 func (s *State) Bytes() int {
 	size := 0
-	s.jobs.Each(func(_ string, row *Job) { size += row.bytes() })
+	s.jobs.Each(func(_ string, row *Job) { size += row.Bytes() })
 	return size
 }
 
-// bytes returns the size in bytes of the bodies, results and partial outputs.
-func (j Job) bytes() int {
+// Bytes returns the size in bytes of the bodies, results and partial outputs.
+func (j Job) Bytes() int {
 	size := 0
 	for _, item := range j.spec.items {
 		size += len(item.body)
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -68,6 +68,8 @@
 	term     uint64
 	vote     ledger.ReplicaID
 	snapshot ledger.Snapshot
+	parts    [][]byte // of the snapshot, if it has several
+	pending  [][]byte // of a snapshot that is not complete yet
 	entries  []ledger.Entry
 }
 
@@ -77,13 +79,7 @@
 	case ledger.RecordVote:
 		d.term, d.vote = r.Term(), r.Vote()
 	case ledger.RecordSnapshot:
-		kept := d.entries[:0:0]
-		for _, e := range d.entries {
-			if e.Index() > r.Snapshot().Index() {
-				kept = append(kept, e)
-			}
-		}
-		d.snapshot, d.entries = r.Snapshot(), kept
+		d.writeSnapshot(r.Snapshot())
 	case ledger.RecordEntry:
 		kept := d.entries[:0:0]
 		for _, e := range d.entries {
@@ -95,6 +91,28 @@
 	}
 }
 
+// writeSnapshot stores a snapshot or a part of one.
+func (d *testDisk) writeSnapshot(s ledger.Snapshot) {
+	if s.Part() == 0 {
+		d.pending = nil
+	}
+	d.pending = append(d.pending, s.Data())
+	if !s.IsLast() {
+		return
+	}
+	kept := d.entries[:0:0]
+	for _, e := range d.entries {
+		if e.Index() > s.Index() {
+			kept = append(kept, e)
+		}
+	}
+	d.parts, d.entries = nil, kept
+	d.snapshot = ledger.NewSnapshot(s.Index(), s.Term(), s.Members(), s.Data())
+	if s.Parts() > 1 {
+		d.parts, d.snapshot = d.pending, ledger.NewSnapshot(s.Index(), s.Term(), s.Members(), nil)
+	}
+}
+
 // testInstance is one simulated instance.
 type testInstance struct {
 	address    string
@@ -196,9 +214,11 @@
 // host returns the ledger world of an instance.
 func (s *testSystem) host(n *testInstance, first bool) *ledger.World {
 	world := ledger.New(n.address, ledger.WithSeed(uint64(len(n.address)*7+int(n.address[1]))+n.starts*13),
-		ledger.WithVoters(s.voters, func(i string) string { return n.world.DataCentre(i) }, func(i string) bool { return n.world.Retiring(i) }))
+		ledger.WithVoters(s.voters, func(i string) string { return n.world.DataCentre(i) }, func(i string) bool { return n.world.Retiring(i) }),
+		ledger.WithExport(func(ledger.ID) ledger.Parts { return n.world.Export() }))
 	id, initialMembers := JobsLedger, []string(nil)
-	options := []ledger.HostOption{ledger.WithPersistedState(n.disk.term, n.disk.vote, n.disk.snapshot, append([]ledger.Entry(nil), n.disk.entries...))}
+	options := []ledger.HostOption{ledger.WithPersistedState(n.disk.term, n.disk.vote, n.disk.snapshot, append([]ledger.Entry(nil), n.disk.entries...)),
+		ledger.WithSnapshotParts(n.disk.parts)}
 	if n.role == directory.RoleControl {
 		id = ControlLedger
 		if first && slices.Contains(s.seeds, n.address) {
--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -17,7 +17,6 @@
 
 // Limits and timing of the jobs ledger.
 const (
-	jobsCompactEntries = 2500             // applied entries before a snapshot
 	jobsRetention      = 10 * time.Minute // after submission, if all results are there
 	jobsExpireInterval = 30 * time.Second
 )
@@ -37,9 +36,9 @@
 	loadTotals   *usage.VersionedLoads // load totals for the instances that report here
 	waitingPages *table.Table[requesterKey, waitingPageRow]
 	nextExpiry   time.Time
-	encoding     bool   // a snapshot is being encoded
-	ranItems     bool   // this instance ran items in the last tick
-	runTerm      uint64 // term in which this instance may run items
+	restored     []batch.Job // from the parts of a snapshot that arrived so far
+	ranItems     bool        // this instance ran items in the last tick
+	runTerm      uint64      // term in which this instance may run items
 }
 
 // newJobsHost returns the initial state of a store instance.
@@ -159,13 +158,21 @@
 	return call.StatusDone, nil
 }
 
-// restoreBatch replaces the jobs by the content of a snapshot.
-func (w *World) restoreBatch(data []byte) error {
-	snapshot, err := w.codec.BatchSnapshot.Decode(data)
+// restoreBatch collects the jobs of the parts of a snapshot. With the last part they
+// replace the present jobs.
+func (w *World) restoreBatch(s ledger.Snapshot) error {
+	h := w.jobs
+	if s.Part() == 0 {
+		h.restored = nil
+	}
+	snapshot, err := w.codec.BatchSnapshot.Decode(s.Data())
 	if err != nil {
 		return err
 	}
-	w.jobs.state = batch.Restore(snapshot.Jobs(), snapshot.RetiringInstances())
+	h.restored = append(h.restored, snapshot.Jobs()...)
+	if s.IsLast() {
+		h.state, h.restored = batch.Restore(h.restored, snapshot.RetiringInstances()), nil
+	}
 	return nil
 }
 
--- a/core/cluster/host_registry.go
+++ b/core/cluster/host_registry.go
@@ -18,9 +18,6 @@
 	initialMembersMaxWait = 5 * time.Second
 )
 
-// registryCompactEntries is the number of applied entries before a snapshot.
-const registryCompactEntries = 500
-
 // registryHost holds the state of a control instance: the applied state of the
 // control ledger and the choice of the initial members of the jobs ledger.
 type registryHost struct {
@@ -28,7 +25,6 @@
 	leftIncarnation map[string]uint64 // last incarnation that left, by backend server
 	firstStoreAt    time.Time         // when the first store instance was seen
 	proposedAt      time.Time
-	encoding        bool // a snapshot is being encoded
 }
 
 // newRegistryHost returns the initial state.
@@ -131,41 +127,3 @@
 	}
 	return members
 }
-
-// compactLog replaces the applied entries of the log by a snapshot when there
-// are many. The snapshot is encoded off the control thread.
-func (w *World) compactLog(id ledger.ID) {
-	if w.registry != nil {
-		h := w.registry
-		if !h.encoding && w.ledgers.ShouldCompact(id, registryCompactEntries) {
-			h.encoding = true
-			index := w.ledgers.Applied(id)
-			state := registry.Restore(h.state.Document(), h.state.InitialMembers(), append([]registry.LeavingBackend(nil), h.state.Leaving()...))
-			w.encodeSnapshot(id, index, func() ([]byte, error) { return w.codec.RegistryState.Encode(state) }, func() { h.encoding = false })
-		}
-		return
-	}
-	h := w.jobs
-	if !h.encoding && w.ledgers.ShouldCompact(id, jobsCompactEntries) {
-		h.encoding = true
-		index := w.ledgers.Applied(id)
-		snapshot := NewBatchSnapshot(h.state.Export(), h.state.RetiringInstances())
-		w.encodeSnapshot(id, index, func() ([]byte, error) { return w.codec.BatchSnapshot.Encode(snapshot) }, func() { h.encoding = false })
-	}
-}
-
-// encodeSnapshot encodes a snapshot in the background and passes it to the
-// ledger.
-func (w *World) encodeSnapshot(id ledger.ID, index uint64, encode func() ([]byte, error), done func()) {
-	w.background(func() {
-		data, err := encode()
-		w.post(Input{work: func() {
-			done()
-			if err != nil {
-				event.SnapshotFailed.Log(w.logger, "ledger", id, "error", err)
-				return
-			}
-			w.ledgers.Compact(id, index, data)
-		}})
-	})
-}
--- a/core/cluster/system_ledger.go
+++ b/core/cluster/system_ledger.go
@@ -109,13 +109,15 @@
 	if w.registry != nil {
 		err = w.restoreRegistry(s.Data())
 	} else {
-		err = w.restoreBatch(s.Data())
+		err = w.restoreBatch(s)
 	}
 	if err != nil {
 		event.CommandInvalid.Log(w.logger, "snapshot", s.Index(), "error", err)
 		return
 	}
-	event.LedgerRestored.Log(w.logger, "ledger", w.hosted(), "index", s.Index())
+	if s.IsLast() {
+		event.LedgerRestored.Log(w.logger, "ledger", w.hosted(), "index", s.Index(), "parts", s.Parts())
+	}
 }
 
 // memberLogKey identifies the leader and member list that were logged last.
--- a/core/ledger/entry.go
+++ b/core/ledger/entry.go
@@ -68,12 +68,15 @@
 // Voter reports whether the replica counts for quorums.
 func (m Member) Voter() bool { return m.voter }
 
-// Snapshot is the state of a ledger after it applied the entry at Index.
+// Snapshot is the state of a ledger after it applied the entry at Index, or one part of
+// that state.
 type Snapshot struct {
 	index   uint64
 	term    uint64
 	members []Member
 	data    []byte
+	part    int
+	parts   int
 }
 
 // NewSnapshot returns a snapshot; data is the encoded state machine.
@@ -81,6 +84,25 @@
 	return Snapshot{index: index, term: term, members: members, data: data}
 }
 
+// NewSnapshotPart returns one part of a snapshot; part counts from 0 up to parts.
+func NewSnapshotPart(index, term uint64, members []Member, part, parts int, data []byte) Snapshot {
+	return Snapshot{index: index, term: term, members: members, data: data, part: part, parts: parts}
+}
+
+// Part returns the position of this part among the parts of the snapshot.
+func (s Snapshot) Part() int { return s.part }
+
+// Parts returns the number of parts; 0 and 1 mean that the snapshot is whole.
+func (s Snapshot) Parts() int { return s.parts }
+
+// IsLast reports whether the snapshot is complete with this part.
+func (s Snapshot) IsLast() bool { return s.part+1 >= s.parts }
+
+// withoutData returns the position of the snapshot in the log.
+func (s Snapshot) withoutData() Snapshot {
+	return Snapshot{index: s.index, term: s.term, members: s.members}
+}
+
 // Index returns the index of the last entry that the snapshot covers; zero
 // means that there is no snapshot.
 func (s Snapshot) Index() uint64 { return s.index }
--- a/core/ledger/log.go
+++ b/core/ledger/log.go
@@ -2,7 +2,8 @@
 
 // entryLog holds the last snapshot and the entries that follow it.
 type entryLog struct {
-	snapshot      Snapshot
+	snapshot      Snapshot // without data if it was written in parts
+	snapshotBytes int
 	entries       []Entry
 	bytes         int      // of the payloads of entries
 	memberChanges []uint64 // indices of the entries of kind EntryMembers
@@ -10,7 +11,7 @@
 
 // newEntryLog returns a log of a snapshot and the entries that follow it.
 func newEntryLog(snapshot Snapshot, entries []Entry) entryLog {
-	l := entryLog{snapshot: snapshot}
+	l := entryLog{snapshot: snapshot, snapshotBytes: len(snapshot.data)}
 	for _, e := range entries {
 		l.add(e)
 	}
@@ -73,9 +74,9 @@
 	}
 }
 
-// compact replaces the entries up to the snapshot's index by the snapshot. If
-// the log does not contain the snapshot's last entry, all entries are removed.
-func (l *entryLog) compact(snapshot Snapshot) {
+// compact replaces the entries up to the snapshot's index by the snapshot of the given
+// size. If the log does not contain the snapshot's last entry, all entries are removed.
+func (l *entryLog) compact(snapshot Snapshot, bytes int) {
 	if snapshot.index <= l.snapshot.index {
 		return
 	}
@@ -84,6 +85,7 @@
 		rest = append(rest, l.entries[snapshot.index-l.snapshot.index:]...)
 	}
 	*l = newEntryLog(snapshot, rest)
+	l.snapshotBytes = bytes
 }
 
 // members returns the newest member list and the index of the entry that set
--- a/core/ledger/message.go
+++ b/core/ledger/message.go
@@ -16,6 +16,7 @@
 	MessageDiscoverReply // answers MessageDiscover
 	MessageJoin          // asks the leader to add a replica
 	MessageTimeoutNow    // asks a replica to start an election immediately
+	MessageSnapshotReply // answers a part of a snapshot; its snapshot is the part to send next
 )
 
 // Message is sent from one replica to another.
--- a/core/ledger/receive.go
+++ b/core/ledger/receive.go
@@ -42,6 +42,8 @@
 		w.receiveAppendReply(now, row, m)
 	case MessageSnapshot:
 		w.receiveSnapshot(now, row, m)
+	case MessageSnapshotReply:
+		w.receiveSnapshotReply(now, row, m)
 	case MessageTimeoutNow:
 		w.receiveTimeoutNow(now, row, m)
 	}
--- a/core/ledger/replica.go
+++ b/core/ledger/replica.go
@@ -41,7 +41,11 @@
 	commit           uint64
 	applied          uint64
 	durableIndex     uint64
-	snapshotReleased bool // the log's snapshot was passed to the state machine if it is newer
+	snapshotReleased bool           // the log's snapshot was passed to the state machine if it is newer
+	loadedParts      [][]byte       // of the log's snapshot, until they are released
+	compaction       *compactionRow // nil if no snapshot is being written
+	incoming         incomingRow
+	transfer         *transferRow // nil if no snapshot is being sent
 
 	votes              map[ReplicaID]bool
 	leadershipTransfer bool
--- a/core/ledger/status.go
+++ b/core/ledger/status.go
@@ -159,13 +159,18 @@
 // ShouldCompact reports whether the applied entries should be replaced by a snapshot:
 // if there are at least maxEntries of them, or if the log takes minCompactBytes and half
 // as much as the last snapshot. So disk and memory hold no more than a multiple of the
-// state, whatever the size of an entry.
+// state, whatever the size of an entry. While a snapshot is sent to a member, the log may
+// grow to twice that size, so that the member can go on from the snapshot.
 func (w *World) ShouldCompact(ledger ID, maxEntries uint64) bool {
-	entries := w.UncompactedEntries(ledger)
+	row, entries := w.replicas.Get(ledger), w.UncompactedEntries(ledger)
 	if entries == 0 {
 		return false
 	}
-	return entries >= maxEntries || w.LogBytes(ledger) >= max(minCompactBytes, w.SnapshotBytes(ledger)/2)
+	maxBytes := max(minCompactBytes, row.log.snapshotBytes/2)
+	if row.transfer != nil {
+		return entries >= 2*maxEntries || row.log.bytes >= 2*maxBytes
+	}
+	return entries >= maxEntries || row.log.bytes >= maxBytes
 }
 
 // LogBytes returns the size in bytes of the entries that the log holds in memory.
@@ -177,14 +182,13 @@
 	return row.log.bytes
 }
 
-// SnapshotBytes returns the size in bytes of the snapshot that the log holds in
-// memory.
+// SnapshotBytes returns the size in bytes of the last snapshot.
 func (w *World) SnapshotBytes(ledger ID) int {
 	row := w.replicas.Get(ledger)
 	if row == nil {
 		return 0
 	}
-	return len(row.log.snapshot.data)
+	return row.log.snapshotBytes
 }
 
 // Applied returns the index of the last entry that Output returned or will
@@ -206,6 +210,6 @@
 	}
 	members, _ := row.log.membersAt(index)
 	snapshot := NewSnapshot(index, row.log.termAt(index), members, data)
-	row.log.compact(snapshot)
+	row.log.compact(snapshot, len(data))
 	w.queueRecord(row, NewSnapshotRecord(row.id, row.self, snapshot))
 }
--- a/core/ledger/system_discover.go
+++ b/core/ledger/system_discover.go
@@ -68,7 +68,7 @@
 	initial := NewSnapshot(1, 1, members, nil)
 	row.term = max(row.term, 1)
 	w.queueVoteRecord(row)
-	row.log.compact(initial)
+	row.log.compact(initial, 0)
 	row.commit, row.snapshotReleased = initial.index, false
 	row.role = RoleFollower
 	row.electionDue = now.Add(w.electionTimeout())
--- a/core/ledger/system_elect.go
+++ b/core/ledger/system_elect.go
@@ -72,6 +72,7 @@
 	row.leader, row.leaderInstance = row.self, w.instance
 	row.leadershipTransfer = false
 	row.rounds, row.leaseUntil, row.roundRequested = nil, now, true
+	row.transfer = nil
 	w.progress.Each(func(key progressKey, _ *progressRow) {
 		if key.ledger == row.id {
 			w.progress.Remove(key)
@@ -93,7 +94,7 @@
 		row.role = RoleUninitialized
 	}
 	row.leader, row.leaderInstance = leader, instance
-	row.leaseUntil = time.Time{}
+	row.leaseUntil, row.transfer = time.Time{}, nil
 	row.electionDue = now.Add(w.electionTimeout())
 	if leader != "" {
 		row.lastHeardLeader, row.lastLeaderContact = now, now
--- a/core/ledger/system_replicate.go
+++ b/core/ledger/system_replicate.go
@@ -15,6 +15,7 @@
 		w.startRound(now, row)
 		row.roundRequested = false
 	}
+	w.endTransfer(now, row)
 	members, _ := row.log.members()
 	for _, m := range members {
 		if p := w.progress.Get(progressKey{row.id, m.replica}); p != nil {
@@ -78,19 +79,6 @@
 	p.sentCommit = row.commit
 }
 
-// sendSnapshot sends the snapshot, repeats it after snapshotRetryInterval, and
-// sends heartbeats in between.
-func (w *World) sendSnapshot(now time.Time, row *replicaRow, m Member, p *progressRow, heartbeat bool) {
-	if !now.Before(p.snapshotDue) {
-		p.snapshotDue = now.Add(snapshotRetryInterval)
-		w.send(NewMessage(MessageSnapshot, row.id, row.self, m.replica, row.term,
-			WithRoute(w.instance, m.instance), WithRound(row.round), WithSnapshot(row.log.snapshot)))
-	}
-	if heartbeat {
-		w.sendAppend(row, m, row.log.snapshot.index, nil)
-	}
-}
-
 // sendAppend sends entries that follow index; without entries the message is a
 // heartbeat.
 func (w *World) sendAppend(row *replicaRow, m Member, index uint64, entries []Entry) {
@@ -124,6 +112,9 @@
 		w.replyAppend(row, m, min(row.log.lastIndex(), m.index-1), true, false)
 		return
 	}
+	if len(m.entries) > 0 {
+		row.incoming = incomingRow{}
+	}
 	w.storeEntries(row, m.entries)
 	matched := m.index + uint64(len(m.entries))
 	row.commit = max(row.commit, min(m.commit, matched))
@@ -151,28 +142,6 @@
 	}
 }
 
-// receiveSnapshot installs the leader's snapshot if it covers entries that are
-// not committed here yet.
-func (w *World) receiveSnapshot(now time.Time, row *replicaRow, m Message) {
-	if m.term < row.term {
-		w.replyAppend(row, m, row.log.lastIndex(), true, false)
-		return
-	}
-	w.becomeFollower(now, row, m.term, m.from, m.source)
-	if m.snapshot.index > row.commit {
-		if row.log.termAt(m.snapshot.index) != m.snapshot.term {
-			// compact removes all entries. Until the snapshot is durable, only
-			// the entries committed so far may be confirmed.
-			row.durableIndex = min(row.durableIndex, row.commit)
-		}
-		row.log.compact(m.snapshot)
-		row.commit = m.snapshot.index
-		row.snapshotReleased = false
-		w.queueRecord(row, NewSnapshotRecord(row.id, row.self, m.snapshot))
-	}
-	w.replyAppend(row, m, m.snapshot.index, false, true)
-}
-
 // replyAppend answers an append or snapshot message. index is the confirmed
 // index or, if reject is true, the highest index that may match.
 func (w *World) replyAppend(row *replicaRow, m Message, index uint64, reject, waitForSync bool) {
@@ -204,6 +173,9 @@
 	p.probing = false
 	p.matchIndex = max(p.matchIndex, m.index)
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
+	if t := row.transfer; t != nil && t.to == m.from && p.matchIndex >= t.position.index {
+		row.transfer = nil
+	}
 }
 
 // renewLease extends the lease from the start of the newest round that a quorum
@@ -263,7 +235,7 @@
 		row.snapshotReleased = true
 		if row.log.snapshot.index > row.applied {
 			row.applied = row.log.snapshot.index
-			w.committed = append(w.committed, Committed{ledger: row.id, snapshot: row.log.snapshot})
+			w.releaseSnapshot(row)
 		}
 	}
 	for n := 0; row.applied < row.commit && n < maxApplyPerTick; n++ {
--- a/core/ledger/world.go
+++ b/core/ledger/world.go
@@ -57,6 +57,7 @@
 	targetVoters int // voters per ledger; 0 promotes every learner
 	dataCentreOf func(instance string) string
 	retiring     func(instance string) bool
+	export       func(ID) Parts // nil: snapshots are whole and stay in memory
 
 	electionsDisabled bool // this instance starts no elections
 	heartbeatDue      time.Time
@@ -160,6 +161,16 @@
 	}
 }
 
+// WithSnapshotParts restores the content of the persisted snapshot from its parts.
+func WithSnapshotParts(parts [][]byte) HostOption {
+	return func(r *replicaRow) {
+		r.loadedParts = parts
+		for _, part := range parts {
+			r.log.snapshotBytes += len(part)
+		}
+	}
+}
+
 // WithPreferredLeader names the instance that should lead the ledger when it
 // can.
 func WithPreferredLeader(instance string) HostOption {
@@ -230,7 +241,7 @@
 	case RecordEntry:
 		w.trackSync(row.id, record.entry.index, record.entry.term)
 	case RecordSnapshot:
-		if record.snapshot.index > row.durableIndex && record.snapshot.index == row.log.lastIndex() {
+		if record.snapshot.IsLast() && record.snapshot.index > row.durableIndex && record.snapshot.index == row.log.lastIndex() {
 			w.trackSync(row.id, record.snapshot.index, record.snapshot.term)
 		}
 	}
@@ -308,6 +319,7 @@
 		w.transferToPreferred(now, row)
 		w.advanceCommit(row)
 		w.replicate(now, row)
+		w.compact(row)
 		w.releaseCommitted(row)
 	})
 }
--- a/core/ledger/world_test.go
+++ b/core/ledger/world_test.go
@@ -22,6 +22,9 @@
 	term   uint64
 	vote   ReplicaID
 	log    entryLog
+	parts  [][]byte // of the log's snapshot, if it has several
+
+	pending [][]byte // parts of a snapshot that is not complete yet
 }
 
 // write applies a durable record.
@@ -32,7 +35,24 @@
 	case RecordEntry:
 		d.log.overwriteFrom(r.Entry())
 	case RecordSnapshot:
-		d.log.compact(r.Snapshot())
+		d.writeSnapshot(r.Snapshot())
+	}
+}
+
+// writeSnapshot applies a durable snapshot or a part of one.
+func (d *diskRow) writeSnapshot(s Snapshot) {
+	if s.Part() == 0 {
+		d.pending = nil
+	}
+	if s.Parts() <= 1 {
+		d.log.compact(s, len(s.data))
+		d.parts = nil
+		return
+	}
+	d.pending = append(d.pending, s.data)
+	if s.IsLast() {
+		d.log.compact(s.withoutData(), 0)
+		d.parts, d.pending = d.pending, nil
 	}
 }
 
@@ -50,6 +70,8 @@
 	batches     []recordBatch
 	paused      bool
 	partitioned bool
+	restored    string // content of the parts of a snapshot that arrived so far
+	state       uint64 // index of the last applied step
 }
 
 // cluster is a simulated cluster with one ledger.
@@ -63,13 +85,18 @@
 	leaders      map[uint64]string // leader by term
 	seed         uint64
 	lastCommand  int
+	inParts      bool      // snapshots are written and sent in parts
+	sentAtOnce   int       // largest size of the snapshots that an instance sent in one tick
 	targetVoters int       // target number of voters; 0 means all
 	pendingReads []readRow // reads that are not ready yet
 }
 
 // newCluster returns a cluster of size instances with empty disks.
-func newCluster(t interface{ Fatalf(string, ...any) }, size, targetVoters int, seed uint64) *cluster {
+func newCluster(t interface{ Fatalf(string, ...any) }, size, targetVoters int, seed uint64, options ...func(*cluster)) *cluster {
 	c := &cluster{t: t, targetVoters: targetVoters, now: time.Unix(1000, 0), committed: make(map[uint64]string), leaders: make(map[uint64]string), seed: seed}
+	for _, option := range options {
+		option(c)
+	}
 	for i := range size {
 		c.names = append(c.names, fmt.Sprintf("i%d", i))
 	}
@@ -84,12 +111,28 @@
 // start starts an instance with the content of its disk.
 func (c *cluster) start(n *node) {
 	c.seed++
-	n.world = New(n.name, WithSeed(c.seed), WithVoters(c.targetVoters, func(instance string) string { return instance[1:] },
-		func(string) bool { return false }))
-	n.batches, n.paused = nil, false
+	options := []Option{WithSeed(c.seed), WithVoters(c.targetVoters, func(instance string) string { return instance[1:] },
+		func(string) bool { return false })}
+	if c.inParts {
+		options = append(options, WithExport(func(ID) Parts { return c.export(n) }))
+	}
+	n.world = New(n.name, options...)
+	n.batches, n.paused, n.restored, n.state = nil, false, "", 0
 	replica := ReplicaID(fmt.Sprintf("%s#%d", n.name, n.disk.number))
 	n.world.Host(c.now, testLedger, replica, c.names,
-		WithPersistedState(n.disk.term, n.disk.vote, n.disk.log.snapshot, append([]Entry(nil), n.disk.log.entries...)))
+		WithPersistedState(n.disk.term, n.disk.vote, n.disk.log.snapshot, append([]Entry(nil), n.disk.log.entries...)),
+		WithSnapshotParts(n.disk.parts))
+}
+
+// snapshotParts is the number of parts of a snapshot in parts.
+const snapshotParts = 3
+
+// export returns the state of an instance in parts.
+func (c *cluster) export(n *node) Parts {
+	state := c.stateAt(n.state)
+	return NewParts(snapshotParts, func(part int) ([]byte, error) {
+		return []byte(state[len(state)*part/snapshotParts : len(state)*(part+1)/snapshotParts]), nil
+	})
 }
 
 // runTick runs one tick of an instance and collects its output.
@@ -115,6 +158,7 @@
 		}
 	}
 	c.network = append(c.network, messages...)
+	c.sentAtOnce = max(c.sentAtOnce, snapshotBytes(messages))
 	for _, step := range committed {
 		c.checkCommitted(n, step)
 	}
@@ -129,16 +173,26 @@
 	}
 }
 
+// snapshotBytes returns the size of the snapshots and parts that messages carry.
+func snapshotBytes(messages []Message) int {
+	bytes := 0
+	for _, m := range messages {
+		if m.Kind() == MessageSnapshot {
+			bytes += len(m.Snapshot().Data())
+		}
+	}
+	return bytes
+}
+
 // checkCommitted fails if an instance commits a different entry or restores a
 // different state than another instance did.
 func (c *cluster) checkCommitted(n *node, step Committed) {
 	if s := step.Snapshot(); s.Index() > 0 {
-		if got, want := string(s.Data()), c.stateAt(s.Index()); got != want {
-			c.t.Fatalf("%s restored %q at %d, want %q", n.name, got, s.Index(), want)
-		}
+		c.checkRestored(n, s)
 		return
 	}
 	e := step.Entry()
+	n.state = e.Index()
 	payload := fmt.Sprintf("%d:%s", e.Kind(), e.Payload())
 	if old, ok := c.committed[e.Index()]; ok && old != payload {
 		c.t.Fatalf("%s committed %q at %d, before it was %q", n.name, payload, e.Index(), old)
@@ -146,6 +200,25 @@
 	c.committed[e.Index()] = payload
 }
 
+// checkRestored collects the parts of a snapshot and fails if its content is not the
+// state that other instances had.
+func (c *cluster) checkRestored(n *node, s Snapshot) {
+	if s.Part() == 0 {
+		n.restored = ""
+	}
+	n.restored += string(s.Data())
+	if !s.IsLast() {
+		return
+	}
+	n.state = s.Index()
+	if want := c.stateAt(s.Index()); n.restored != want && !c.isInitial(s) {
+		c.t.Fatalf("%s restored %q at %d, want %q", n.name, n.restored, s.Index(), want)
+	}
+}
+
+// isInitial reports whether a snapshot is that of a new ledger.
+func (c *cluster) isInitial(s Snapshot) bool { return s.Index() == 1 && len(s.Data()) == 0 }
+
 // stateAt returns the expected state after the entry at index, as snapshot
 // data.
 func (c *cluster) stateAt(index uint64) string {
@@ -335,15 +408,16 @@
 		{"all vote", []int{3, 5}, 0},
 		{"three vote", []int{3, 4, 5}, 3},
 	} {
-		t.Run(test.name, func(t *testing.T) { checkSafety(t, test.sizes, test.target) })
+		t.Run(test.name, func(t *testing.T) { checkSafety(t, test.sizes, test.target, false) })
+		t.Run(test.name+", snapshots in parts", func(t *testing.T) { checkSafety(t, test.sizes, test.target, true) })
 	}
 }
 
 // checkSafety runs random schedules on clusters of the given sizes.
-func checkSafety(t *testing.T, sizes []int, targetVoters int) {
+func checkSafety(t *testing.T, sizes []int, targetVoters int, inParts bool) {
 	rapid.Check(t, func(rt *rapid.T) {
 		size := rapid.SampledFrom(sizes).Draw(rt, "size")
-		c := newCluster(rt, size, targetVoters, rapid.Uint64().Draw(rt, "seed"))
+		c := newCluster(rt, size, targetVoters, rapid.Uint64().Draw(rt, "seed"), func(c *cluster) { c.inParts = inParts })
 		if !c.waitUntilConverged(10 * time.Second) {
 			rt.Fatalf("the ledger was not bootstrapped")
 		}
@@ -403,7 +477,9 @@
 			c.loseDisk(n)
 		}
 	default:
-		if applied := n.world.Applied(testLedger); applied > 0 && !n.paused {
+		if applied := n.world.Applied(testLedger); applied > 0 && !n.paused && c.inParts {
+			n.world.CompactInParts(testLedger)
+		} else if applied > 0 && !n.paused {
 			n.world.Compact(testLedger, applied, []byte(c.stateAt(applied)))
 			c.collectOutput(n)
 		}
--- a/io/disk/append.go
+++ b/io/disk/append.go
@@ -195,13 +195,13 @@
 func (s *Store) liveLocations() []*location {
 	var locations []*location
 	s.ledgers.Each(func(_ ledger.ID, row *ledgerRow) {
-		for _, p := range []*location{&row.voteLocation, &row.snapshotLocation} {
-			if p.size > 0 {
-				locations = append(locations, p)
-			}
+		if row.voteLocation.size > 0 {
+			locations = append(locations, &row.voteLocation)
 		}
-		for i := range row.entryLocations {
-			locations = append(locations, &row.entryLocations[i])
+		for _, list := range [][]location{row.snapshotLocations, row.entryLocations, row.pendingLocations} {
+			for i := range list {
+				locations = append(locations, &list[i])
+			}
 		}
 	})
 	return locations
--- a/io/disk/frame.go
+++ b/io/disk/frame.go
@@ -41,6 +41,8 @@
 	Entry   uint8           `cbor:"7,keyasint,omitempty"`
 	Data    []byte          `cbor:"8,keyasint,omitempty"`
 	Members []record.Member `cbor:"9,keyasint,omitempty"`
+	Part    int             `cbor:"10,keyasint,omitempty"`
+	Parts   int             `cbor:"11,keyasint,omitempty"`
 }
 
 // toBody returns the stored form of a ledger record.
@@ -56,6 +58,9 @@
 	case ledger.RecordSnapshot:
 		s := r.Snapshot()
 		b.Term, b.Index, b.Data, b.Members = s.Term(), s.Index(), s.Data(), record.ToMembers(s.Members())
+		if s.Parts() > 1 {
+			b.Part, b.Parts = s.Part(), s.Parts()
+		}
 	}
 	return b
 }
@@ -65,9 +70,9 @@
 	return ledger.NewEntry(b.Term, b.Index, ledger.EntryKind(b.Entry), b.Data, record.Members(b.Members))
 }
 
-// snapshot returns the snapshot of a RecordSnapshot.
+// snapshot returns the snapshot, or the part of one, of a RecordSnapshot.
 func (b body) snapshot() ledger.Snapshot {
-	return ledger.NewSnapshot(b.Index, b.Term, record.Members(b.Members), b.Data)
+	return ledger.NewSnapshotPart(b.Index, b.Term, record.Members(b.Members), b.Part, b.Parts, b.Data)
 }
 
 // CBOR encoding of body.Data (RFC 8949, section 3): its key and the head of a byte
--- a/io/disk/load.go
+++ b/io/disk/load.go
@@ -10,6 +10,7 @@
 
 	"papayaquay/core/event"
 	"papayaquay/core/ledger"
+	"papayaquay/io/record"
 
 	"github.com/cockroachdb/errors"
 )
@@ -160,20 +161,50 @@
 			row.entries = append(row.entries, b.entry())
 		}
 	case ledger.RecordSnapshot:
-		s.liveBytes -= int64(row.snapshotLocation.size)
-		row.snapshotLocation = at
-		s.applySnapshot(row, b, loading)
+		if s.addPart(row, b, at, loading) {
+			s.applySnapshot(row, b, loading)
+		}
+	}
+}
+
+// addPart adds a snapshot or one part of it to the pending parts and reports whether the
+// snapshot is complete. The first part of another snapshot replaces the pending ones, since
+// a replica that stores it has given up theirs.
+func (s *Store) addPart(row *ledgerRow, b body, at location, loading bool) bool {
+	if b.Part == 0 {
+		s.dropLocations(row.pendingLocations)
+		row.pendingLocations, row.pendingParts = nil, nil
+	}
+	row.pendingLocations = append(row.pendingLocations, at)
+	if loading && b.Parts > 1 {
+		row.pendingParts = append(row.pendingParts, b.Data)
+	}
+	return b.snapshot().IsLast()
+}
+
+// dropLocations counts records as dead.
+func (s *Store) dropLocations(locations []location) {
+	for _, p := range locations {
+		s.liveBytes -= int64(p.size)
 	}
 }
 
-// applySnapshot drops the entries that a snapshot covers. Later entries stay only
-// if the log reaches the index of the snapshot.
+// applySnapshot puts the pending parts in the place of the last snapshot and drops the
+// entries that they cover. Later entries stay only if the log reaches the index of the
+// snapshot.
 func (s *Store) applySnapshot(row *ledgerRow, b body, loading bool) {
+	s.dropLocations(row.snapshotLocations)
+	row.snapshotLocations, row.parts = row.pendingLocations, row.pendingParts
+	row.pendingLocations, row.pendingParts = nil, nil
 	reachesSnapshot := len(row.entryLocations) > 0 && row.entryLocations[len(row.entryLocations)-1].index >= b.Index
 	s.dropEntries(row, func(p location) bool { return p.index <= b.Index || !reachesSnapshot })
-	if loading {
-		row.snapshot = b.snapshot()
+	if !loading {
+		return
+	}
+	if len(row.parts) > 0 {
+		b.Data = nil
 	}
+	row.snapshot = ledger.NewSnapshot(b.Index, b.Term, record.Members(b.Members), b.Data)
 }
 
 // dropEntries removes the entries of a ledger for which drop returns true. Such
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -54,9 +54,14 @@
 	snapshot ledger.Snapshot
 	entries  []ledger.Entry // loaded by Open, freed by TakeLoaded
 
-	voteLocation     location
-	snapshotLocation location
-	entryLocations   []location
+	parts [][]byte // of the snapshot, if it has several; loaded and freed likewise
+
+	voteLocation      location
+	snapshotLocations []location // one for each part of the snapshot
+	entryLocations    []location
+
+	pendingLocations []location // parts of a snapshot that is not complete yet
+	pendingParts     [][]byte   // their content, while Open loads
 }
 
 // Store is the write-ahead log of an instance. One goroutine runs it.
@@ -185,6 +190,7 @@
 	term     uint64
 	vote     ledger.ReplicaID
 	snapshot ledger.Snapshot
+	parts    [][]byte
 	entries  []ledger.Entry
 }
 
@@ -200,9 +206,12 @@
 // Vote returns the replica that the stored vote is for, empty for none.
 func (s PersistedState) Vote() ledger.ReplicaID { return s.vote }
 
-// Snapshot returns the newest snapshot.
+// Snapshot returns the newest snapshot, without data if it has several parts.
 func (s PersistedState) Snapshot() ledger.Snapshot { return s.snapshot }
 
+// SnapshotParts returns the parts of the newest snapshot if it has several.
+func (s PersistedState) SnapshotParts() [][]byte { return s.parts }
+
 // Entries returns the entries after the snapshot.
 func (s PersistedState) Entries() []ledger.Entry { return s.entries }
 
@@ -211,8 +220,9 @@
 	var stored []PersistedState
 	s.ledgers.Each(func(id ledger.ID, row *ledgerRow) {
 		stored = append(stored, PersistedState{ledger: id, replica: row.replica, term: row.term, vote: row.vote,
-			snapshot: row.snapshot, entries: row.entries})
-		row.entries, row.snapshot = nil, ledger.NewSnapshot(row.snapshot.Index(), row.snapshot.Term(), nil, nil)
+			snapshot: row.snapshot, parts: row.parts, entries: row.entries})
+		row.entries, row.parts, row.pendingParts = nil, nil, nil
+		row.snapshot = ledger.NewSnapshot(row.snapshot.Index(), row.snapshot.Term(), nil, nil)
 	})
 	return stored
 }
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -205,3 +205,53 @@
 	allocated := after.TotalAlloc - before.TotalAlloc
 	c.Assert(allocated < maxAllocated, qt.IsTrue, qt.Commentf("%d bytes for %d of records", allocated, snapshots*snapshotBytes))
 }
+
+// partRecord returns the record of one part of a snapshot at an index of the test ledger.
+func partRecord(index, part, parts int) ledger.Record {
+	return ledger.NewSnapshotRecord("home/a", "i1#x", ledger.NewSnapshotPart(uint64(index), 1, nil, part, parts, fmt.Appendf(nil, "%d.%d", index, part)))
+}
+
+// TestSnapshotInParts checks that a snapshot takes effect with its last part, and that
+// the parts of one that was given up are dropped, also when the segments are rewritten.
+func TestSnapshotInParts(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		records []ledger.Record
+		index   uint64
+		parts   []string
+		entries int
+	}{
+		{"complete", []ledger.Record{partRecord(90, 0, 2), partRecord(90, 1, 2)}, 90, []string{"90.0", "90.1"}, 10},
+		{"incomplete", []ledger.Record{partRecord(90, 0, 3), partRecord(90, 1, 3)}, 0, nil, 100},
+		{"given up", []ledger.Record{partRecord(90, 0, 3), partRecord(95, 0, 2), partRecord(95, 1, 2)}, 95, []string{"95.0", "95.1"}, 5},
+		{"next one incomplete", []ledger.Record{partRecord(90, 0, 2), partRecord(90, 1, 2), partRecord(99, 0, 2)}, 90, []string{"90.0", "90.1"}, 10},
+		{"whole one follows", []ledger.Record{partRecord(90, 0, 2), partRecord(90, 1, 2), partRecord(95, 0, 1)}, 95, nil, 5},
+	} {
+		for _, maxDeadBytes := range []int64{1, DefaultMaxDeadBytes} {
+			t.Run(fmt.Sprintf("%s, %d dead bytes", test.name, maxDeadBytes), func(t *testing.T) {
+				c := qt.New(t)
+				folder := t.TempDir()
+				writeEntries(c, folder, 100)
+				store, err := Open(folder, WithMaxDeadBytes(maxDeadBytes))
+				c.Assert(err, qt.IsNil)
+				for i, r := range test.records {
+					store.step(time.Now(), []batch{{sequence: uint64(i + 1), records: []ledger.Record{r}}})
+				}
+				live := store.liveBytes
+				store.Close()
+				store, err = Open(folder)
+				c.Assert(err, qt.IsNil)
+				defer store.Close()
+				c.Check(store.liveBytes, qt.Equals, live)
+				stored := store.TakeLoaded()[0]
+				var parts []string
+				for _, part := range stored.SnapshotParts() {
+					parts = append(parts, string(part))
+				}
+				c.Assert(stored.Snapshot().Index(), qt.Equals, test.index)
+				c.Assert(parts, qt.DeepEquals, test.parts)
+				c.Assert(stored.Entries(), qt.HasLen, test.entries)
+			})
+		}
+	}
+}
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -83,6 +83,7 @@
 	}
 	world := ledger.New(s.PeerAddress(), ledger.WithSeed(uint64(p.startedAt.UnixNano())),
 		ledger.WithTiming(ledgerHeartbeat, ledgerMinElectionTimeout, ledgerMaxElectionTimeout, ledgerLease),
+		ledger.WithExport(func(ledger.ID) ledger.Parts { return p.controlWorld.Export() }),
 		ledger.WithVoters(s.Voters(),
 			func(instance string) string { return p.controlWorld.DataCentre(instance) },
 			func(instance string) bool { return p.controlWorld.Retiring(instance) }))
@@ -96,7 +97,8 @@
 	}
 	for _, row := range persisted {
 		replica = row.Replica()
-		options = append(options, ledger.WithPersistedState(row.Term(), row.Vote(), row.Snapshot(), row.Entries()))
+		options = append(options, ledger.WithPersistedState(row.Term(), row.Vote(), row.Snapshot(), row.Entries()),
+			ledger.WithSnapshotParts(row.SnapshotParts()))
 	}
 	var initialMembers []string
 	if s.IsInitialMember() && len(persisted) == 0 {
--- a/io/peer/wire_member.go
+++ b/io/peer/wire_member.go
@@ -113,6 +113,8 @@
 	LeadershipTransfer bool      `cbor:"11,keyasint,omitempty"`
 	Entries            []entry   `cbor:"12,keyasint,omitempty"`
 	Snapshot           *snapshot `cbor:"13,keyasint,omitempty"`
+	Part               int       `cbor:"14,keyasint,omitempty"` // of the snapshot
+	Parts              int       `cbor:"15,keyasint,omitempty"`
 }
 
 // toLedger returns the wire format of a message between replicas.
@@ -126,6 +128,7 @@
 	}
 	if s := m.Snapshot(); s.Index() > 0 {
 		wire.Snapshot = &snapshot{Index: s.Index(), Term: s.Term(), Members: record.ToMembers(s.Members()), Data: s.Data()}
+		wire.Part, wire.Parts = s.Part(), s.Parts()
 	}
 	return wire
 }
@@ -140,7 +143,7 @@
 		ledger.WithCommit(m.Commit), ledger.WithRound(m.Round), ledger.WithReject(m.Reject),
 		ledger.WithLeadershipTransfer(m.LeadershipTransfer), ledger.WithEntries(entries)}
 	if s := m.Snapshot; s != nil {
-		options = append(options, ledger.WithSnapshot(ledger.NewSnapshot(s.Index, s.Term, record.Members(s.Members), s.Data)))
+		options = append(options, ledger.WithSnapshot(ledger.NewSnapshotPart(s.Index, s.Term, record.Members(s.Members), m.Part, m.Parts, s.Data)))
 	}
 	return ledger.NewMessage(ledger.MessageKind(m.Kind), ledger.ID(m.Ledger), ledger.ReplicaID(m.From), ledger.ReplicaID(m.To), m.Term, options...)
 }
