Limits that backend servers name are kept by all instances together

What the users' servers see: a server in need names the requests a second that it takes from all machines, and gets up to twice as many. Cause: no instance read the limit, none knew what the others send, and a server with a limit looks like the best choice, because it has free slots. Ruled out: fixed shares for each entry; permits from the leader of the jobs ledger; a third exchange between instances beside those of loads and of crash evidence. Change: load reports and load totals carry the limits and the requests sent within 4 and 12 s; entries and the runner of items send only what leaves room. Items prefer servers with a limit and have a reserved share. If no server has room, requests are rejected at once.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -206,6 +206,7 @@
 		options = append(options, WithRunner(runner.New(
 			runner.WithAttempts(func(a runner.Attempt) { n.attempts = append(n.attempts, a) },
 				func(number uint64) { n.stopped = append(n.stopped, number) }),
+			runner.WithLimits(func(now time.Time, b member.Backend) (int, bool) { return n.world.ItemRoom(now, b) }),
 			runner.WithOnline(func(backend string) int { return n.world.OnlineRequests(backend) }))))
 	}
 	n.world = New(s.now, self, s.codec, decodeTest, options...)
--- a/core/cluster/host_jobs.go
+++ b/core/cluster/host_jobs.go
@@ -33,7 +33,8 @@
 	state        *batch.State
 	runner       *runner.World
 	usage        *usage.World
-	loadTotals   *usage.VersionedLoads // load totals for the instances that report here
+	loadTotals   *usage.VersionedLoads          // load totals for the instances that report here
+	itemLimits   *table.Table[string, limitRow] // by backend server
 	waitingPages *table.Table[requesterKey, waitingPageRow]
 	nextExpiry   time.Time
 	restored     []batch.Job // from the parts of a snapshot that arrived so far
@@ -44,8 +45,8 @@
 // newJobsHost returns the initial state of a store instance.
 func newJobsHost(self directory.Instance, r *runner.World) *jobsHost {
 	return &jobsHost{state: batch.New(), runner: r, usage: usage.New(),
-		loadTotals:   usage.NewVersionedLoads(xxhash.Sum64String(self.Address()) + self.Incarnation()),
-		waitingPages: table.New[requesterKey, waitingPageRow]()}
+		loadTotals: usage.NewVersionedLoads(xxhash.Sum64String(self.Address()) + self.Incarnation()),
+		itemLimits: table.New[string, limitRow](), waitingPages: table.New[requesterKey, waitingPageRow]()}
 }
 
 // OnlineRequests returns the number of online requests that run on a backend
@@ -74,7 +75,7 @@
 	}
 	if !runs {
 		if w.loadReporter.collecting {
-			w.loadReporter.setReport(h.usage.Total())
+			w.loadReporter.setReport(now, h.usage.Total(now))
 		}
 		return
 	}
--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -17,6 +17,7 @@
 	announce       *member.Backend
 	leave          *member.Backend
 	attempt        *runner.AttemptReport
+	itemLimit      *backendLimit
 	usage          *usage.Report
 	crash          *quarantine.Crash
 	excluded       []quarantine.Part
@@ -45,6 +46,18 @@
 // AttemptEnded reports the end of an attempt at an item.
 func AttemptEnded(report runner.AttemptReport) Input { return Input{attempt: &report} }
 
+// backendLimit is the limit that a backend server named.
+type backendLimit struct {
+	backend string
+	limit   usage.Limit
+}
+
+// ItemAnswered reports the limit that a backend server named in the answer to an item, or
+// that it named none.
+func ItemAnswered(backend string, limit usage.Limit) Input {
+	return Input{itemLimit: &backendLimit{backend: backend, limit: limit}}
+}
+
 // UsageChanged reports the online requests that this entry instance runs.
 func UsageChanged(r usage.Report) Input { return Input{usage: &r} }
 
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -29,8 +29,10 @@
 		w.leave(now, *input.leave, input.reply)
 	case input.attempt != nil && w.jobs != nil:
 		w.jobs.runner.Receive(now, *input.attempt)
+	case input.itemLimit != nil:
+		w.setItemLimit(now, input.itemLimit.backend, input.itemLimit.limit)
 	case input.usage != nil:
-		w.loadReporter.setReport(*input.usage)
+		w.loadReporter.setReport(now, *input.usage)
 	case input.crash != nil && w.quarantine != nil:
 		w.quarantine.Report(now, *input.crash)
 	case len(input.excluded) > 0 && w.quarantine != nil:
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -115,8 +115,9 @@
 	loads := make(Loads)
 	h.usage.Each(func(backend string, online int) { loads[backend] = usage.NewLoad(online, 0) })
 	h.runner.EachBackend(func(backend string, items int) {
-		loads[backend] = usage.NewLoad(loads[backend].Online(), items)
+		loads[backend] = loads[backend].Add(0, items)
 	})
+	addLimits(loads, w.limited(now))
 	w.runAgain = true // the runner must see the new counts
 	w.replyLoadUpdate(requester, loads, request.Cursor())
 }
--- a/core/cluster/snapshot.go
+++ b/core/cluster/snapshot.go
@@ -14,6 +14,7 @@
 	servers    []directory.Server
 	loads      Loads
 	stores     []directory.Instance
+	entries    int // known entry instances
 	ready      bool
 	quarantine *quarantine.View
 }
@@ -39,6 +40,16 @@
 // Stores returns the known store instances.
 func (s *Snapshot) Stores() []directory.Instance { return s.stores }
 
+// Entries returns the number of known entry instances, this one included.
+func (s *Snapshot) Entries() int { return max(s.entries, 1) }
+
+// WithEntries returns a copy of the snapshot with another number of entry instances.
+func (s *Snapshot) WithEntries(count int) *Snapshot {
+	changed := *s
+	changed.entries = count
+	return &changed
+}
+
 // Ready reports whether the instance can serve callers.
 func (s *Snapshot) Ready() bool { return s.ready }
 
--- a/core/cluster/system_collect.go
+++ b/core/cluster/system_collect.go
@@ -8,7 +8,6 @@
 
 	"papayaquay/core/directory"
 	"papayaquay/core/event"
-	"papayaquay/core/usage"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -92,13 +91,14 @@
 	}
 	h.usage.SetReport(now, requester.from, request.Report())
 	w.loadReporter.collecting = true
-	w.loadReporter.setReport(h.usage.Total())
+	w.loadReporter.setReport(now, h.usage.Total(now))
 	loads := maps.Clone(w.loadReporter.loads)
 	if loads == nil {
 		loads = make(Loads)
 	}
 	h.usage.Each(func(backend string, online int) {
-		loads[backend] = usage.NewLoad(loads[backend].Online()+online, loads[backend].Batch())
+		loads[backend] = loads[backend].Add(online, 0)
 	})
+	w.addCollectedLimits(now, loads)
 	w.replyLoadUpdate(requester, loads, request.Cursor())
 }
--- a/core/cluster/system_usage.go
+++ b/core/cluster/system_usage.go
@@ -24,6 +24,7 @@
 type loadReporter struct {
 	active            bool // this instance has load to report
 	report            usage.Report
+	reportedAt        time.Time // when report was set
 	lastReport        usage.Report
 	changed           bool
 	awaitingReply     bool
@@ -45,10 +46,10 @@
 }
 
 // setReport sets the present load of this instance.
-func (l *loadReporter) setReport(r usage.Report) {
+func (l *loadReporter) setReport(now time.Time, r usage.Report) {
 	l.active = true
-	l.report = r
-	l.changed = !maps.Equal(r.Running(), l.lastReport.Running())
+	l.report, l.reportedAt = r, now
+	l.changed = !r.Equal(l.lastReport)
 }
 
 // nextReport returns the time of the next report.
@@ -81,7 +82,7 @@
 	if !l.active || l.awaitingReply || now.Before(l.nextReport()) {
 		return
 	}
-	payload, err := w.codec.SyncRequest.Encode(usage.NewSyncRequest(l.report, l.cursor))
+	payload, err := w.codec.SyncRequest.Encode(usage.NewSyncRequest(l.report.Aged(now.Sub(l.reportedAt)), l.cursor))
 	if err != nil {
 		event.CallEncodingFailed.Log(w.logger, "call", "usage", "error", err)
 		return
@@ -120,8 +121,12 @@
 	l.reporters, l.cursor = response.Reporters(), update.Cursor()
 	l.loads = maps.Clone(l.totals)
 	for backend, running := range sent.Running() {
-		load := l.loads[backend]
-		l.loads[backend] = usage.NewLoad(max(load.Online()-running, 0), load.Batch())
+		l.loads[backend] = l.loads[backend].Add(-running, 0)
+	}
+	for backend, use := range sent.Limited() {
+		if load := l.loads[backend]; load.Limit().Incarnation() == use.Limit().Incarnation() {
+			l.loads[backend] = load.WithLimit(load.Limit(), load.Sent().Without(use.Sent()))
+		}
 	}
 	l.receivedAt, w.snapshotStale = w.now, true
 }
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -278,6 +278,7 @@
 	if w.quarantine != nil {
 		s.quarantine = w.quarantine.View().At(now)
 	}
+	s.entries = len(w.directory.Instances(directory.RoleEntry))
 	s.stores = w.directory.Instances(directory.RoleStore)
 	w.publish(s)
 }
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -11,6 +11,7 @@
 	"papayaquay/core/member"
 	"papayaquay/core/progress"
 	"papayaquay/core/quarantine"
+	"papayaquay/core/usage"
 )
 
 // Request is the part of an online request that routing needs.
@@ -132,6 +133,7 @@
 	slots          int
 	latencyPercent int
 	idleTimeout    time.Duration
+	limit          float64
 }
 
 // NewLoadReport returns a report of the number of running and waiting requests,
@@ -147,6 +149,17 @@
 	return l
 }
 
+// WithLimit returns a copy of the report with the number of requests per second that the
+// server takes from all instances together, 0 if it named none.
+func (l LoadReport) WithLimit(perSecond float64) LoadReport {
+	l.limit = perSecond
+	return l
+}
+
+// Limit returns the number of requests per second that the server takes from all instances
+// together, 0 if it named none.
+func (l LoadReport) Limit() float64 { return l.limit }
+
 // Known reports whether the server sent a load report.
 func (l LoadReport) Known() bool { return l.slots > 0 }
 
@@ -183,6 +196,12 @@
 	progressing  bool          // an attempt on it makes progress
 	lastAnswerAt time.Time     // end of the last answer
 	idleTimeout  time.Duration // after which it closes an idle connection, 0 if unknown
+	sent         usage.Window  // requests sent to it
+	limit        usage.Limit   // that its newest answer named
+	limitSeenAt  time.Time     // time of this answer
+	knownLimit   usage.Limit   // that this or another instance knew last
+	limitedAt    time.Time     // when it was last known to have a limit
+	soloAt       time.Time     // from when a request may be sent without knowledge of the others' requests
 	ejected      bool          // not used until a probe opens a connection
 	probing      bool          // a probe is running
 	address      string
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -24,20 +24,24 @@
 
 // choose picks a server at random, weighted by free slots. It prefers servers
 // with an idle connection and more than reserveMaxFree free slots, then any
-// server with a free slot. If no slot is free, it picks a server that can preempt
-// batch items, or else a server with the fewest online requests.
+// server with a free slot, those without a limit first: limits are kept for bursts. If no
+// slot is free, it picks a server that can preempt batch items, or else a server with the
+// fewest online requests.
 func (w *World) choose(now time.Time, row *requestRow) (choice, bool) {
 	servers := w.candidates(now, row, false)
 	if len(servers) == 0 {
 		servers = w.candidates(now, row, true)
 	}
-	if c, ok := w.pickWeighted(now, w.withIdleConnection(now, servers), true, reserveMaxFree); ok {
+	unlimited := w.unlimited(now, servers)
+	if c, ok := w.pickWeighted(now, w.withIdleConnection(now, unlimited), true, reserveMaxFree); ok {
 		c.candidates = len(servers)
 		return c, true
 	}
 	for _, countBatch := range []bool{true, false} {
-		if c, ok := w.pickWeighted(now, servers, countBatch, 0); ok {
-			return c, true
+		for _, list := range [][]directory.Server{unlimited, servers} {
+			if c, ok := w.pickWeighted(now, list, countBatch, 0); ok {
+				return c, true
+			}
 		}
 	}
 	return w.leastLoaded(now, servers)
@@ -52,6 +56,9 @@
 		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) {
 			continue
 		}
+		if !w.hasRoom(now, s.Backend(), row.startedAttempts > 0) {
+			continue
+		}
 		if includeAvoided || (!w.avoided(now, id) && (!s.Stale() || w.answeredRecently(now, id))) {
 			servers = append(servers, s)
 		}
@@ -202,8 +209,11 @@
 // shouldReserve reports whether a slot must be reserved on the chosen server. If
 // no slot looks free, nothing is reserved: batch items are preempted by a request
 // that has arrived, not by a reservation.
-func (w *World) shouldReserve(row *requestRow, c choice) bool {
+func (w *World) shouldReserve(now time.Time, row *requestRow, c choice) bool {
 	free := c.backend.Slots() - c.online - c.batch
+	if w.isLimited(now, c.backend) {
+		return false // a reservation would count as a request
+	}
 	return row.request.reserveTokens > 0 && row.rejections < maxRejections && free > 0 && free <= reserveMaxFree
 }
 
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -17,6 +17,9 @@
 	server.inFlight--
 	w.inFlightChanged = true
 	w.recordStatus(now, server, input.status)
+	if input.status == AttemptNotRun {
+		w.setLimit(now, row.backend, server, row.incarnation, input.load)
+	}
 	w.observeAttempt(input.status)
 	if input.status != AttemptAnswered {
 		event.AttemptFailed.Log(w.logger, "request", row.request.id, "backend", row.backend, "end", input.status.String(),
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayaquay/core/event"
+	"papayaquay/core/usage"
 )
 
 // watch detects stalled servers, on which no attempt makes progress. They get no
@@ -20,6 +21,7 @@
 	elapsed := min(now.Sub(w.lastWatch), 2*watchInterval)
 	w.lastWatch = now
 	w.removeUnused(now)
+	w.inFlightChanged = w.inFlightChanged || w.anyLimited(now)
 	w.requests.Each(func(_ uint64, row *requestRow) {
 		if row.backend == "" {
 			return
@@ -56,12 +58,21 @@
 	}
 	w.servers.Each(func(id string, row *serverRow) {
 		row.idleFor, row.progressing = now.Sub(row.loadAt), false
-		if row.inFlight == 0 && (!known[id] || (!row.ejected && now.After(row.pausedUntil) && min(row.idleFor, now.Sub(row.lastAnswerAt)) > unusedAfter)) {
+		if row.inFlight == 0 && (!known[id] || row.isUnused(now)) {
 			w.servers.Remove(id)
 		}
 	})
 }
 
+// isUnused reports whether a server without requests was not used for unusedAfter and
+// nothing must be remembered about it.
+func (r *serverRow) isUnused(now time.Time) bool {
+	if r.ejected || now.Before(r.pausedUntil) || r.knownLimit.PerSecond() > 0 {
+		return false
+	}
+	return min(r.idleFor, now.Sub(r.lastAnswerAt)) > unusedAfter
+}
+
 // failingThreshold is the number of stalled or ejected servers in another data
 // centre at which all servers there are probed.
 const failingThreshold = 2
@@ -117,6 +128,15 @@
 	return row != nil && (row.stalled || row.ejected || now.Before(row.pausedUntil))
 }
 
+// anyLimited reports whether the use of a limit is to be reported. It changes with time.
+func (w *World) anyLimited(now time.Time) bool {
+	found := false
+	w.servers.Each(func(_ string, row *serverRow) {
+		found = found || (!row.limitedAt.IsZero() && now.Sub(row.limitedAt) < usage.LimitMaxAge)
+	})
+	return found
+}
+
 // anyEjected reports whether any server is ejected.
 func (w *World) anyEjected() bool {
 	found := false
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -135,7 +135,7 @@
 	}
 	w.watch(now)
 	if w.inFlightChanged {
-		w.report(w.running())
+		w.report(w.running(now))
 	}
 }
 
@@ -148,14 +148,14 @@
 func (w *World) Len() int { return w.requests.Len() }
 
 // running returns the number of requests in flight by server.
-func (w *World) running() usage.Report {
+func (w *World) running(now time.Time) usage.Report {
 	running := make(map[string]int)
 	w.servers.Each(func(id string, row *serverRow) {
 		if row.inFlight > 0 {
 			running[id] = row.inFlight
 		}
 	})
-	return usage.NewReport(running)
+	return usage.NewReport(running).WithLimited(w.limitedUse(now))
 }
 
 // admit adds a new request and dispatches it.
@@ -188,6 +188,10 @@
 		return
 	}
 	choice, ok := w.choose(now, row)
+	if !ok && w.atLimits(now, row) {
+		w.endUnanswered(now, number, row, "limits reached", w.limitRetryAfter(now, row))
+		return
+	}
 	if !ok {
 		w.endUnanswered(now, number, row, "no backend server", noServerRetry)
 		return
@@ -199,6 +203,7 @@
 	backend := choice.backend
 	server := w.server(backend.ID())
 	server.inFlight++
+	w.countSent(now, backend, server)
 	server.dataCentre, server.address = backend.DataCentre(), backend.Address()
 	w.inFlightChanged = true
 	row.backend, row.sentAt, row.abandoned, row.stallTimeout = backend.ID(), now, false, stalledAfter
@@ -208,9 +213,12 @@
 	if choice.online+choice.batch >= backend.Slots() {
 		row.stallTimeout = queuedStalledAfter
 	}
-	reserve := w.shouldReserve(row, choice)
+	reserve := w.shouldReserve(now, row, choice)
+	limit, sent := w.limit(now, backend)
+	sent = sent.Add(server.sent.Sent(now))
 	event.AttemptStarted.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "attempt", len(row.tried)+1,
-		"reserve", reserve, "in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates)
+		"reserve", reserve, "in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates,
+		"limit", limit.PerSecond(), "sent_4s", sent.Burst(), "sent_12s", sent.Sustained())
 	row.decide(Decision{action: ActionSend, number: number, backend: backend, reserve: reserve})
 }
 
@@ -250,6 +258,7 @@
 	}
 	row.headerAt = now
 	server := w.server(row.backend)
+	w.setLimit(now, row.backend, server, row.incarnation, load)
 	server.idleTimeout = load.idleTimeout
 	if !load.Known() {
 		return
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -74,6 +74,7 @@
 	QuarantineEnded            = Event{405, slog.LevelInfo, "the quarantine of a part of prompts ended"}
 	QuarantinedRequestRejected = Event{406, slog.LevelInfo, "a request was rejected because a part of its prompt is quarantined"}
 	AnswerTooLong              = Event{407, slog.LevelWarn, "an answer of a backend server was given up because it was too long"}
+	BackendLimitChanged        = Event{408, slog.LevelInfo, "a backend server named another limit"}
 	RequestEnded               = Event{410, slog.LevelInfo, "a request ended"}
 	AttemptStarted             = Event{411, slog.LevelInfo, "an attempt of a request started"}
 	ItemAttemptEnded           = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
@@ -105,7 +106,7 @@
 		DiskWriteFailed, LogTruncated, LogCorrupt, ReplicaCreated,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, PeerRejected,
-		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong,
+		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged,
 		RequestEnded, AttemptStarted, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -406,3 +406,19 @@
 	r.tick(0)
 	r.c.Assert(r.started, qt.HasLen, 11)
 }
+
+// TestItemsPreferLimitedServers checks that items use what the limits of servers leave, and
+// then the servers without a limit.
+func TestItemsPreferLimitedServers(t *testing.T) {
+	r := newTestRunner(t, 10, 2)
+	const allowed = 3
+	r.world.limitRoom = func(now time.Time, b member.Backend) (int, bool) {
+		return max(allowed-r.world.Sent(now, b.ID()).Burst(), 0), b.ID() == "b1"
+	}
+	r.tick(0)
+	var backends []string
+	for _, a := range r.started {
+		backends = append(backends, a.Backend().ID())
+	}
+	r.c.Assert(backends, qt.DeepEquals, []string{"b1", "b1", "b1", "b0", "b0", "b0", "b0"})
+}
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -141,6 +141,9 @@
 		if w.isHalfOpen(id) {
 			n = min(n, 1-w.runningItems[id])
 		}
+		if room, limited := w.limitRoom(now, s.Backend()); limited {
+			n = min(n, room)
+		}
 		if n > 0 && !pause {
 			free[id] = n
 		}
@@ -203,11 +206,12 @@
 		return false
 	}
 	row.routeMissingSince = time.Time{}
-	server, ok := w.pickServer(route.Pick(w.random()), free)
+	server, ok := w.pickServer(now, route.Pick(w.random()), free)
 	if !ok {
 		return false
 	}
 	backend := server.Backend()
+	w.countSent(now, backend.ID())
 	if free[backend.ID()]--; free[backend.ID()] <= 0 {
 		delete(free, backend.ID())
 	}
@@ -236,13 +240,19 @@
 }
 
 // pickServer returns the server with the most free slots among those that run the
-// service.
-func (w *World) pickServer(service string, free map[string]int) (directory.Server, bool) {
+// service. Servers whose limits leave room come first: online requests, which are shorter
+// and more, need the slots of the others.
+func (w *World) pickServer(now time.Time, service string, free map[string]int) (directory.Server, bool) {
 	var best directory.Server
-	most := 0
+	most, bestLimited := 0, false
 	for _, s := range w.servers {
-		if n := free[s.Backend().ID()]; n > most && s.Backend().Runs(service) {
-			best, most = s, n
+		n := free[s.Backend().ID()]
+		if n == 0 || !s.Backend().Runs(service) {
+			continue
+		}
+		_, limited := w.limitRoom(now, s.Backend())
+		if most == 0 || (limited && !bestLimited) || (limited == bestLimited && n > most) {
+			best, most, bestLimited = s, n, limited
 		}
 	}
 	return best, most > 0
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -8,8 +8,10 @@
 	"papayaquay/core/batch"
 	"papayaquay/core/directory"
 	"papayaquay/core/event"
+	"papayaquay/core/member"
 	"papayaquay/core/routing"
 	"papayaquay/core/table"
+	"papayaquay/core/usage"
 )
 
 // Limits and timing.
@@ -46,6 +48,8 @@
 	config          *routing.Config
 	servers         []directory.Server
 	onlineRequests  func(backend string) int
+	limitRoom       func(now time.Time, b member.Backend) (room int, limited bool)
+	sent            *table.Table[string, usage.Window] // items sent, by server
 	jobs            *table.Table[string, jobRow]
 	acceptedAt      map[string]time.Time // when this instance first saw each open job
 	progress        *table.Table[itemKey, progressRow]
@@ -83,6 +87,12 @@
 	return func(w *World) { w.onlineRequests = count }
 }
 
+// WithLimits sets the function that returns how many more items the limit of a backend
+// server allows now, and whether the server has a limit.
+func WithLimits(limitRoom func(now time.Time, b member.Backend) (room int, limited bool)) Option {
+	return func(w *World) { w.limitRoom = limitRoom }
+}
+
 // WithRandom sets the source of random numbers in [0, 1).
 func WithRandom(random func() float64) Option { return func(w *World) { w.random = random } }
 
@@ -97,7 +107,7 @@
 	w := &World{
 		logger:       slog.New(slog.DiscardHandler),
 		startAttempt: func(Attempt) {}, stopAttempt: func(uint64) {},
-		random: func() float64 { return 0 }, onlineRequests: func(string) int { return 0 }, attemptEnded: func(AttemptStatus, int, time.Duration) {},
+		random: func() float64 { return 0 }, onlineRequests: func(string) int { return 0 }, limitRoom: func(time.Time, member.Backend) (int, bool) { return 0, false }, sent: table.New[string, usage.Window](), attemptEnded: func(AttemptStatus, int, time.Duration) {},
 		acceptedAt: make(map[string]time.Time),
 		jobs:       table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
 		running: table.New[uint64, runningRow](), backoffs: table.New[string, backoffRow](),
@@ -194,6 +204,31 @@
 // RunningItems returns the number of items that run on a backend server.
 func (w *World) RunningItems(backend string) int { return w.runningItems[backend] }
 
+// HasJobs reports whether jobs are open.
+func (w *World) HasJobs() bool { return len(w.jobOrder) > 0 }
+
+// Sent returns the items sent to a backend server.
+func (w *World) Sent(now time.Time, backend string) usage.Sent {
+	if sent := w.sent.Get(backend); sent != nil {
+		return sent.Sent(now)
+	}
+	return usage.Sent{}
+}
+
+// countSent counts an item that is sent to a backend server, and forgets servers to which
+// none was sent lately.
+func (w *World) countSent(now time.Time, backend string) {
+	w.sent.Each(func(id string, row *usage.Window) {
+		if row.Sent(now).Sustained() == 0 {
+			w.sent.Remove(id)
+		}
+	})
+	if w.sent.Get(backend) == nil {
+		w.sent.Put(backend, usage.Window{})
+	}
+	w.sent.Get(backend).Add(now)
+}
+
 // EachBackend calls visit for each backend server that runs items, with their number.
 func (w *World) EachBackend(visit func(backend string, items int)) {
 	for backend, count := range w.runningItems {
--- a/core/usage/world.go
+++ b/core/usage/world.go
@@ -17,6 +17,7 @@
 // reports: its own, or those of the entry instances that report to it.
 type Report struct {
 	running map[string]int
+	limited map[string]LimitedUse
 }
 
 // NewReport returns a report. running contains only servers with requests.
@@ -29,6 +30,8 @@
 type Load struct {
 	online int
 	batch  int
+	sent   Sent
+	limit  Limit
 }
 
 // NewLoad returns a load of online requests and batch items.
@@ -40,6 +43,25 @@
 // Batch returns the number of batch items.
 func (l Load) Batch() int { return l.batch }
 
+// WithLimit returns a copy of the load with the server's limit and the requests that were
+// sent to it.
+func (l Load) WithLimit(limit Limit, sent Sent) Load {
+	l.limit, l.sent = limit, sent
+	return l
+}
+
+// Limit returns the limit that the server names.
+func (l Load) Limit() Limit { return l.limit }
+
+// Sent returns the requests sent to a server with a limit.
+func (l Load) Sent() Sent { return l.sent }
+
+// Add returns the load with more work.
+func (l Load) Add(online, batch int) Load {
+	l.online, l.batch = max(l.online+online, 0), l.batch+batch
+	return l
+}
+
 // row is the last report of an instance.
 type row struct {
 	report     Report
@@ -50,6 +72,9 @@
 type World struct {
 	reports *table.Table[string, row]
 	online  map[string]int
+
+	limited   map[string]LimitedUse // sums of the reports at limitedAt, nil for none
+	limitedAt time.Time
 }
 
 // New returns a world without reports.
@@ -93,18 +118,19 @@
 func (w *World) Online(backend string) int { return w.online[backend] }
 
 // Total returns the sum of all reports.
-func (w *World) Total() Report {
+func (w *World) Total(now time.Time) Report {
 	running := make(map[string]int, len(w.online))
 	for backend, online := range w.online {
 		running[backend] = online
 	}
-	return NewReport(running)
+	return NewReport(running).WithLimited(w.Limited(now))
 }
 
 // Reset removes all reports.
 func (w *World) Reset() {
 	w.reports = table.New[string, row]()
 	clear(w.online)
+	w.limited = nil
 }
 
 // Each calls visit for each backend server with online requests.
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"papayaquay/core/cluster"
+	"papayaquay/core/entry"
 	"papayaquay/core/runner"
+	"papayaquay/core/usage"
 	"papayaquay/io/forward"
 	"papayaquay/io/otlp"
 )
@@ -64,6 +66,9 @@
 			p.inbox.Post(cluster.AttemptEnded(runner.NewAttemptReport(a.Number(), status, text, last)))
 		}
 		report(p.forward.Collect(ctx, request, a.Backend(), a.LastEvent(), a.Progress(),
+			func(load entry.LoadReport) {
+				p.inbox.Post(cluster.ItemAnswered(a.Backend().ID(), usage.NewLimit(load.Limit(), a.Backend().Incarnation())))
+			},
 			func(text []byte, last uint64) { report(runner.AttemptPartial, text, last) }))
 	}()
 }
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -8,6 +8,7 @@
 	"papayaquay/core/cluster"
 	"papayaquay/core/directory"
 	"papayaquay/core/ledger"
+	"papayaquay/core/member"
 	"papayaquay/core/runner"
 	"papayaquay/core/usage"
 	"papayaquay/io/boottime"
@@ -63,6 +64,7 @@
 	if s.Role() == settings.RoleStore {
 		options = append(options, cluster.WithMaxJobBytes(int(s.MemoryBytes()/jobMemoryDivisor)), cluster.WithRunner(runner.New(runner.WithLogger(p.logger),
 			runner.WithRandom(rand.Float64), runner.WithAttempts(p.startItemAttempt, p.itemAttempts.cancel), runner.WithObserver(metrics().itemAttemptEnded),
+			runner.WithLimits(func(now time.Time, b member.Backend) (int, bool) { return p.controlWorld.ItemRoom(now, b) }),
 			runner.WithOnline(func(backend string) int { return p.controlWorld.OnlineRequests(backend) }))))
 	}
 	p.controlWorld = cluster.New(now, self, record.NewClusterCodec(), p.front.decode, options...)
--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"papayaquay/core/entry"
 	"papayaquay/core/member"
 	"papayaquay/core/progress"
 	"papayaquay/core/runner"
@@ -23,10 +24,10 @@
 
 // Collect runs a request on one server and collects the data of the events after
 // the one with the id lastEvent, separated by line feeds. It increments counter
-// at each read that completes an event and passes partial outputs to partial. It returns the status of
+// at each read that completes an event, passes the load report of an answer to onHeader and partial outputs to partial. It returns the status of
 // the attempt, the text after the last partial output and the id of the newest
 // event.
-func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, lastEvent uint64, counter *progress.Counter, partial func(text []byte, lastEvent uint64)) (runner.AttemptStatus, []byte, uint64) {
+func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, lastEvent uint64, counter *progress.Counter, onHeader func(entry.LoadReport), partial func(text []byte, lastEvent uint64)) (runner.AttemptStatus, []byte, uint64) {
 	resp, sent := c.send(ctx, r, b, lastEvent, "")
 	switch {
 	case resp == nil && ctx.Err() != nil:
@@ -38,6 +39,9 @@
 	}
 	defer resp.response.Body.Close()
 	counter.Increment()
+	if resp.header.notRun || resp.header.matchesRequest {
+		onHeader(resp.header.load)
+	}
 	switch {
 	case resp.header.notRun:
 		drainBody(resp.response.Body)
--- a/io/forward/endless_test.go
+++ b/io/forward/endless_test.go
@@ -122,7 +122,7 @@
 					counter := progress.New()
 					ctx, cancel := stopIdle(ctx, counter)
 					defer cancel()
-					status, text, _ := client.Collect(ctx, newRequest("POST"), b, 0, counter, func([]byte, uint64) {})
+					status, text, _ := client.Collect(ctx, newRequest("POST"), b, 0, counter, func(entry.LoadReport) {}, func([]byte, uint64) {})
 					qt.Check(t, status, qt.Not(qt.Equals), runner.AttemptDone)
 					qt.Check(t, len(text) <= maxItemBytes, qt.IsTrue)
 				}},
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -294,7 +294,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			s := newTestServer(t, test.resetAtEnd, test.response)
-			status, text, lastEvent := New(testCodec()).Collect(context.Background(), newRequest("POST"), s.backend(), 2, progress.New(), func([]byte, uint64) {})
+			status, text, lastEvent := New(testCodec()).Collect(context.Background(), newRequest("POST"), s.backend(), 2, progress.New(), func(entry.LoadReport) {}, func([]byte, uint64) {})
 			c.Assert(status, qt.Equals, test.status)
 			c.Assert(string(text), qt.Equals, test.text)
 			c.Assert(lastEvent, qt.Equals, test.lastEvent)
--- a/io/forward/stream_end_test.go
+++ b/io/forward/stream_end_test.go
@@ -55,7 +55,7 @@
 			status, _ := relay.Try(context.Background(), start().backend(), "", func(entry.LoadReport) {}, func() {})
 			c.Check(status, qt.Equals, test.status)
 			c.Check(recorder.Body.String(), qt.Equals, test.body)
-			item, _, _ := client.Collect(context.Background(), newRequest("POST"), start().backend(), 0, progress.New(), func([]byte, uint64) {})
+			item, _, _ := client.Collect(context.Background(), newRequest("POST"), start().backend(), 0, progress.New(), func(entry.LoadReport) {}, func([]byte, uint64) {})
 			c.Check(item, qt.Equals, test.item)
 		})
 	}
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -249,19 +249,78 @@
 	Version uint64
 }
 
+// limitedSyncRequest is the wire format of a usage.SyncRequest with limits of backend
+// servers. Instances of earlier versions understand a syncRequest only.
+type limitedSyncRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Running map[string]int
+	Epoch   uint64
+	Version uint64
+	Limited map[string]limitedUse // by backend server id
+}
+
+// limitedUse is the wire format of usage.LimitedUse.
+type limitedUse struct {
+	_           struct{} `cbor:",toarray"`
+	PerSecond   float64
+	Incarnation uint64
+	AgeMS       int64
+	Burst       int // requests within usage.BurstWindow
+	Sustained   int // requests within usage.SustainedWindow
+}
+
+// toLimitedUse returns the wire format of a limit.
+func toLimitedUse(limit usage.Limit, age time.Duration, sent usage.Sent) limitedUse {
+	return limitedUse{PerSecond: limit.PerSecond(), Incarnation: limit.Incarnation(), AgeMS: age.Milliseconds(),
+		Burst: sent.Burst(), Sustained: sent.Sustained()}
+}
+
+// limit returns the limit.
+func (u limitedUse) limit() usage.Limit { return usage.NewLimit(u.PerSecond, u.Incarnation) }
+
+// sent returns the requests sent.
+func (u limitedUse) sent() usage.Sent { return usage.NewSent(u.Burst, u.Sustained) }
+
+// arrayOf4 is the first byte of an array of four elements (RFC 8949, section 3).
+const arrayOf4 = 0x84
+
 // encodeSyncRequest encodes the load report of an instance and its cursor in the
 // load totals.
 func encodeSyncRequest(r usage.SyncRequest) ([]byte, error) {
-	data, err := cbor.Marshal(syncRequest{Running: r.Report().Running(), Epoch: r.Cursor().Epoch(), Version: r.Cursor().Version()})
+	wire := limitedSyncRequest{Running: r.Report().Running(), Epoch: r.Cursor().Epoch(), Version: r.Cursor().Version()}
+	if len(r.Report().Limited()) == 0 {
+		data, err := cbor.Marshal(syncRequest{Running: wire.Running, Epoch: wire.Epoch, Version: wire.Version})
+		return data, errors.Wrap(err, "encode sync request")
+	}
+	wire.Limited = make(map[string]limitedUse, len(r.Report().Limited()))
+	for id, use := range r.Report().Limited() {
+		wire.Limited[id] = toLimitedUse(use.Limit(), use.Age(), use.Sent())
+	}
+	data, err := cbor.Marshal(wire)
 	return data, errors.Wrap(err, "encode sync request")
 }
 
 // decodeSyncRequest decodes the load report of an instance and its cursor in the
 // load totals.
 func decodeSyncRequest(data []byte) (usage.SyncRequest, error) {
-	var wire syncRequest
-	err := Decode(data, &wire)
-	return usage.NewSyncRequest(usage.NewReport(wire.Running), usage.NewCursor(wire.Epoch, wire.Version)), err
+	var wire limitedSyncRequest
+	var err error
+	if len(data) > 0 && data[0] == arrayOf4 {
+		err = Decode(data, &wire)
+	} else {
+		var plain syncRequest
+		err = Decode(data, &plain)
+		wire.Running, wire.Epoch, wire.Version = plain.Running, plain.Epoch, plain.Version
+	}
+	report := usage.NewReport(wire.Running)
+	if len(wire.Limited) > 0 {
+		limited := make(map[string]usage.LimitedUse, len(wire.Limited))
+		for id, use := range wire.Limited {
+			limited[id] = usage.NewLimitedUse(use.limit(), time.Duration(use.AgeMS)*time.Millisecond, use.sent())
+		}
+		report = report.WithLimited(limited)
+	}
+	return usage.NewSyncRequest(report, usage.NewCursor(wire.Epoch, wire.Version)), err
 }
 
 // loadUpdate is the wire format of cluster.LoadUpdate.
@@ -274,27 +333,54 @@
 	Loads     map[string][2]int // online and batch load by backend server id
 }
 
+// limitedLoadUpdate is the wire format of a cluster.LoadUpdate with limits of backend servers.
+// Instances of earlier versions understand a loadUpdate only.
+type limitedLoadUpdate struct {
+	_       struct{} `cbor:",toarray"`
+	Update  loadUpdate
+	Limited map[string]limitedUse // by backend server id
+}
+
+// arrayOf2 is the first byte of an array of two elements (RFC 8949, section 3).
+const arrayOf2 = 0x82
+
 // encodeLoadUpdate encodes an update of the load totals.
 func encodeLoadUpdate(u cluster.LoadUpdate) ([]byte, error) {
 	update := u.Update()
 	wire := loadUpdate{Reporters: u.Reporters(), Epoch: update.Cursor().Epoch(), Version: update.Cursor().Version(), Whole: update.Full(),
 		Loads: make(map[string][2]int, len(update.Loads()))}
+	limited := make(map[string]limitedUse)
 	for id, load := range update.Loads() {
 		wire.Loads[id] = [2]int{load.Online(), load.Batch()}
+		if limit := load.Limit(); limit.PerSecond() > 0 {
+			limited[id] = toLimitedUse(limit, 0, load.Sent())
+		}
 	}
-	data, err := cbor.Marshal(wire)
+	var message any = wire
+	if len(limited) > 0 {
+		message = limitedLoadUpdate{Update: wire, Limited: limited}
+	}
+	data, err := cbor.Marshal(message)
 	return data, errors.Wrap(err, "encode load update")
 }
 
 // decodeLoadUpdate decodes an update of the load totals.
 func decodeLoadUpdate(data []byte) (cluster.LoadUpdate, error) {
-	var wire loadUpdate
-	if err := Decode(data, &wire); err != nil {
+	var message limitedLoadUpdate
+	var target any = &message.Update
+	if len(data) > 0 && data[0] == arrayOf2 {
+		target = &message
+	}
+	if err := Decode(data, target); err != nil {
 		return cluster.LoadUpdate{}, err
 	}
+	wire := message.Update
 	loads := make(map[string]usage.Load, len(wire.Loads))
 	for id, counts := range wire.Loads {
 		loads[id] = usage.NewLoad(counts[0], counts[1])
+		if use, ok := message.Limited[id]; ok {
+			loads[id] = loads[id].WithLimit(use.limit(), use.sent())
+		}
 	}
 	return cluster.NewLoadUpdate(wire.Reporters, usage.NewUpdate(usage.NewCursor(wire.Epoch, wire.Version), wire.Whole, loads)), nil
 }
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -47,6 +47,10 @@
 			directory.WithStale([]string{"b"}), directory.WithFull(true)), registry.NewDocument(7, []byte("{}")), members, time.Second))},
 		{"sync request", checkRoundTrip(codec.SyncRequest, usage.NewSyncRequest(usage.NewReport(map[string]int{"b": 2}), usage.NewCursor(3, 4)))},
 		{"load update", checkRoundTrip(codec.LoadUpdate, cluster.NewLoadUpdate(3, usage.NewUpdate(usage.NewCursor(3, 4), true, cluster.Loads{"b": usage.NewLoad(2, 1)})))},
+		{"sync request with a limit", checkRoundTrip(codec.SyncRequest, usage.NewSyncRequest(usage.NewReport(map[string]int{"b": 2}).WithLimited(
+			map[string]usage.LimitedUse{"c": usage.NewLimitedUse(usage.NewLimit(2.6, 7), time.Second, usage.NewSent(4, 6))}), usage.NewCursor(3, 4)))},
+		{"load update with a limit", checkRoundTrip(codec.LoadUpdate, cluster.NewLoadUpdate(3, usage.NewUpdate(usage.NewCursor(3, 4), true,
+			cluster.Loads{"b": usage.NewLoad(2, 1).WithLimit(usage.NewLimit(2.6, 7), usage.NewSent(5, 9))})))},
 		{"evidence request", checkRoundTrip(codec.EvidenceRequest, quarantine.NewSyncRequest(quarantine.NewCursor(3, 4), []quarantine.Crash{crashed}))},
 		{"evidence update", checkRoundTrip(codec.EvidenceUpdate, quarantine.NewUpdate(quarantine.NewCursor(3, 4), []quarantine.Crash{crashed}))},
 		{"query", checkRoundTrip(codec.Query, cluster.NewQuery("j", 4, "i"))},
