An earlier refusal on a kept connection is not taken for that of a later request

What callers would see: "not run, try again" for a request that a server runs (REFUSED), or the request runs at a second server (TWICE). Cause: a response that says that the request was not run was accepted without an id, on any connection. A server that writes an earlier refusal once more, on a connection that is used again, thereby refused the next request. Besides, a connection that had brought the response to another request was used again if that response had no body. Ruled out: rejecting every refusal without an id (on a new connection it can belong to this request only); connections for one request each (new connections are dear). Change: a refusal without an id counts only on a connection without earlier requests. A connection with a response to another request is closed.

--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -47,6 +47,7 @@
 		drainBody(resp.response.Body)
 		return runner.AttemptNotRun, nil, lastEvent
 	case !resp.header.matchesRequest:
+		resp.closeConnection()
 		return runner.AttemptInterrupted, nil, lastEvent
 	case resp.response.StatusCode == http.StatusUnprocessableEntity:
 		drainBody(resp.response.Body)
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -41,8 +41,10 @@
 	load           entry.LoadReport
 }
 
-// NewResponseHeader returns a decoded header: whether it belongs to the request,
-// whether the server did not run the request, and the server's load.
+// NewResponseHeader returns a decoded header: whether it belongs to the request by its id,
+// whether the server did not run the request, and the server's load. A response without an
+// id that says that a request was not run does not match, but belongs to the request if
+// the connection had no other.
 func NewResponseHeader(matchesRequest, notRun bool, load entry.LoadReport) ResponseHeader {
 	return ResponseHeader{matchesRequest: matchesRequest, notRun: notRun, load: load}
 }
@@ -176,6 +178,15 @@
 	backend  string
 	response *http.Response
 	header   ResponseHeader
+	conn     net.Conn
+}
+
+// closeConnection closes the connection. A response to another request came on it, so the
+// next one would not be that to the next request either.
+func (r *backendResponse) closeConnection() {
+	if r.conn != nil {
+		r.conn.Close()
+	}
 }
 
 // send sends a request to a backend server, with a reserved slot if there is
@@ -199,14 +210,18 @@
 		metadata.timeLeft = r.deadline.Sub(c.now())
 	}
 	c.codec.setMetadata(out.Header, metadata)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
+	var used httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used, sent = info, true }}
 	response, err := c.transport.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, sent
 	}
 	header := c.codec.readHeader(r.id, response.StatusCode, response.Header)
 	header.load = header.load.WithIdleTimeout(keepAliveTimeout(response.Header))
-	return &backendResponse{backend: b.ID(), response: response, header: header}, true
+	// On a connection that had other requests, a refusal without an id may be an earlier one
+	// that the server wrote once more.
+	header.notRun = header.notRun && (header.matchesRequest || !used.Reused)
+	return &backendResponse{backend: b.ID(), response: response, header: header, conn: used.Conn}, true
 }
 
 // logExceeded logs that an answer was given up because it exceeds its limits.
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -30,7 +30,8 @@
 			h.Set("Resume", strconv.FormatUint(m.LastEvent(), 10))
 		}
 	}, func(id string, _ int, h http.Header) ResponseHeader {
-		return NewResponseHeader(h.Get("Id") == id, h.Get("Not-Run") != "", entry.LoadReport{})
+		notRun := h.Get("Not-Run") != "" && (h.Get("Id") == "" || h.Get("Id") == id)
+		return NewResponseHeader(h.Get("Id") == id, notRun, entry.LoadReport{})
 	})
 }
 
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -85,7 +85,10 @@
 	case resp.header.notRun:
 		drainBody(resp.response.Body)
 		return entry.AttemptNotRun, load
-	case !resp.header.matchesRequest || (r.responseStarted && resp.response.StatusCode != http.StatusOK):
+	case !resp.header.matchesRequest:
+		resp.closeConnection()
+		return entry.AttemptLost, load
+	case r.responseStarted && resp.response.StatusCode != http.StatusOK:
 		return entry.AttemptLost, load
 	}
 	r.progress.Increment()
