Only a stream that continues where it broke off reaches the caller

Cause: after a stream had begun, any answer of the next server with status 200 was copied, whatever its type, and the rest after its last event was sent at its end. Ruled out: checking the type alone (a server can write its error into a stream). Change: an answer that should continue a stream must be a stream of events, and its first event must be the one after the last.

--- a/io/forward/answer_meter.go
+++ b/io/forward/answer_meter.go
@@ -30,11 +30,21 @@
 
 // newAnswerMeter returns a meter for the answer with the given header and maximum size.
 func newAnswerMeter(h http.Header, maxBytes int64) answerMeter {
-	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	stream := err == nil && mediaType == eventStreamType
+	stream := hasEvents(h)
 	return answerMeter{maxBytes: maxBytes, stream: stream, events: stream}
 }
 
+// hasEvents reports whether the header is that of a stream of events.
+func hasEvents(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == eventStreamType
+}
+
+// isEventStream reports whether a response is a successful one with a stream of events.
+func isEventStream(response *http.Response) bool {
+	return response.StatusCode == http.StatusOK && hasEvents(response.Header)
+}
+
 // add counts the next bytes of the body. An event ends with an empty line.
 func (m *answerMeter) add(data []byte) {
 	m.totalBytes += int64(len(data))
--- a/io/forward/events.go
+++ b/io/forward/events.go
@@ -25,6 +25,20 @@
 	return complete
 }
 
+// continuesWith reports whether complete bytes begin with the event that follows the last
+// one.
+func (s *eventScanner) continuesWith(complete []byte) bool {
+	end := len(complete)
+	for _, blank := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.Index(complete, []byte(blank)); i >= 0 {
+			end = min(end, i+len(blank))
+		}
+	}
+	var first eventScanner
+	first.each(complete[:end], func(uint64, []byte) {})
+	return first.lastID == s.lastID+1
+}
+
 // lastEventEnd returns the length of data up to and including its last blank
 // line, 0 if there is none.
 func lastEventEnd(data []byte) int {
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -88,7 +88,7 @@
 	case !resp.header.matchesRequest:
 		resp.closeConnection()
 		return entry.AttemptLost, load
-	case r.responseStarted && resp.response.StatusCode != http.StatusOK:
+	case r.responseStarted && !isEventStream(resp.response):
 		return entry.AttemptLost, load
 	}
 	r.progress.Increment()
@@ -130,7 +130,7 @@
 	}
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
-	began := false
+	began, resumes := false, r.responseStarted
 	meter := newAnswerMeter(resp.response.Header, maxAnswerBytes)
 	meter.events = meter.events || resumable
 	for {
@@ -151,6 +151,10 @@
 		}
 		if resumable {
 			chunk = r.events.feed(chunk)
+			if resumes && len(chunk) > 0 && !r.events.continuesWith(chunk) {
+				return r.brokenStatus(ctx)
+			}
+			resumes = resumes && len(chunk) == 0
 			r.events.each(chunk, func(uint64, []byte) {})
 		}
 		if len(chunk) > 0 && !r.write(resp, chunk) {
