--- a/core/ledger/world_test.go
+++ b/core/ledger/world_test.go
@@ -87,6 +87,7 @@
 	lastCommand  int
 	inParts      bool      // snapshots are written and sent in parts
 	sentAtOnce   int       // largest size of the snapshots that an instance sent in one tick
+	lossesAtOnce int       // disks that a fault takes
 	targetVoters int       // target number of voters; 0 means all
 	pendingReads []readRow // reads that are not ready yet
 }
@@ -338,6 +339,17 @@
 	c.start(n)
 }
 
+// loseDisks restarts an instance and its neighbours, lossesAtOnce in all, with empty disks.
+func (c *cluster) loseDisks(first *node) {
+	for i, n := range c.nodes {
+		for offset := range c.lossesAtOnce {
+			if c.nodes[(i+offset)%len(c.nodes)] == first {
+				c.loseDisk(n)
+			}
+		}
+	}
+}
+
 // waitUntilConverged removes all faults and runs until all instances have
 // applied the same log. It returns false after timeout.
 func (c *cluster) waitUntilConverged(timeout time.Duration) bool {
@@ -404,20 +416,25 @@
 		name   string
 		sizes  []int
 		target int
+		losses int
 	}{
-		{"all vote", []int{3, 5}, 0},
-		{"three vote", []int{3, 4, 5}, 3},
+		{"all vote", []int{3, 5}, 0, 1},
+		{"three vote", []int{3, 4, 5}, 3, 1},
+		{"five vote, two disks are lost at once", []int{5, 6, 7}, 5, 2},
 	} {
-		t.Run(test.name, func(t *testing.T) { checkSafety(t, test.sizes, test.target, false) })
-		t.Run(test.name+", snapshots in parts", func(t *testing.T) { checkSafety(t, test.sizes, test.target, true) })
+		for _, inParts := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, snapshots in parts %t", test.name, inParts), func(t *testing.T) {
+				checkSafety(t, test.sizes, test.target, func(c *cluster) { c.inParts, c.lossesAtOnce = inParts, test.losses })
+			})
+		}
 	}
 }
 
 // checkSafety runs random schedules on clusters of the given sizes.
-func checkSafety(t *testing.T, sizes []int, targetVoters int, inParts bool) {
+func checkSafety(t *testing.T, sizes []int, targetVoters int, options func(*cluster)) {
 	rapid.Check(t, func(rt *rapid.T) {
 		size := rapid.SampledFrom(sizes).Draw(rt, "size")
-		c := newCluster(rt, size, targetVoters, rapid.Uint64().Draw(rt, "seed"), func(c *cluster) { c.inParts = inParts })
+		c := newCluster(rt, size, targetVoters, rapid.Uint64().Draw(rt, "seed"), options)
 		if !c.waitUntilConverged(10 * time.Second) {
 			rt.Fatalf("the ledger was not bootstrapped")
 		}
@@ -474,7 +491,7 @@
 		n.partitioned = !n.partitioned
 	case action < 97:
 		if c.fullyReplicated() {
-			c.loseDisk(n)
+			c.loseDisks(n)
 		}
 	default:
 		if applied := n.world.Applied(testLedger); applied > 0 && !n.paused && c.inParts {
