A new document is encoded once for all instances that wait for it

Cause: the response to each waiting poll was encoded on its own, although instances wait with the same state. Only full responses were shared, after starts. Ruled out: longer rounds (config_apply_ms); compressed documents (instances of earlier versions would not read them). Change: responses are cached by what they depend on, for the tick in which they are made.

--- a/core/cluster/poll_test.go
+++ b/core/cluster/poll_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"papayaquay/core/call"
 	"papayaquay/core/directory"
 
 	qt "github.com/frankban/quicktest"
@@ -68,3 +69,33 @@
 func newEntryInstance(address string) directory.Instance {
 	return directory.NewInstance(address, address, "z", directory.RoleEntry, 1)
 }
+
+// TestDocumentIsEncodedOnceForAllPolls checks that a new document is encoded a few times for
+// each control instance, however many instances wait for it.
+func TestDocumentIsEncodedOnceForAllPolls(t *testing.T) {
+	const entries = 30
+	s := newTestSystem(t, 0)
+	encoded := 0
+	plain := s.codec.PollResponse
+	s.codec.PollResponse = NewEncoding(func(r PollResponse) ([]byte, error) {
+		if r.document.Number() > 0 {
+			encoded++
+		}
+		return plain.Encode(r)
+	}, plain.Decode)
+	for i := range entries {
+		s.add(fmt.Sprintf("x%d", i), directory.RoleEntry, "z0")
+	}
+	for _, n := range s.instances {
+		s.start(n, true)
+	}
+	s.run(8 * time.Second)
+	for number := range uint64(10) {
+		s.c.Assert(s.configure("c0", number+1), qt.Equals, call.StatusDone)
+		s.run(time.Second)
+	}
+	for _, n := range s.instances {
+		s.c.Assert(n.snapshot.Config().Number(), qt.Equals, uint64(10), qt.Commentf(n.address))
+	}
+	s.c.Assert(encoded <= 10*2*len(s.seeds), qt.IsTrue, qt.Commentf("%d times for 10 documents at %d control instances", encoded, len(s.seeds)))
+}
--- a/core/cluster/system_poll.go
+++ b/core/cluster/system_poll.go
@@ -103,16 +103,30 @@
 	}
 }
 
-// answerPoll answers the poll of another instance. Many instances without any
-// state may poll at the same time, when they or this instance were started. They
-// share one full response, which is encoded once.
+// answerPoll answers the poll of another instance. Instances that poll with the same state
+// share one response, which is encoded once: those without any state after a start, and
+// all that wait for a new document.
 func (w *World) answerPoll(requester requesterKey, request PollRequest) {
-	key := fullResponseKey{configNumber: request.configNumber, hasInitialMembers: request.hasInitialMembers, announcements: request.instance.Role() == directory.RoleControl}
-	full := request.version == 0 || request.epoch != w.directory.Epoch()
-	if full && w.fullResponse.isReusable(key, w.now, w.directory.UrgentVersion()) {
-		w.reply(requester, call.StatusDone, w.fullResponse.payload)
-		return
+	key := responseKey{version: request.version, configNumber: request.configNumber, document: w.document.Number(),
+		hasInitialMembers: request.hasInitialMembers, announcements: request.instance.Role() == directory.RoleControl}
+	version := w.directory.Version()
+	if request.epoch != w.directory.Epoch() || request.version == 0 {
+		key.version, version = 0, w.directory.UrgentVersion()
+	}
+	payload := w.responses.get(key, w.now, version)
+	if payload == nil {
+		var err error
+		if payload, err = w.codec.PollResponse.Encode(w.pollResponse(key, request)); err != nil {
+			event.CallEncodingFailed.Log(w.logger, "call", "news", "to", requester.from, "error", err)
+			return
+		}
+		w.responses.put(key, w.now, version, payload)
 	}
+	w.reply(requester, call.StatusDone, payload)
+}
+
+// pollResponse returns the response to a poll.
+func (w *World) pollResponse(key responseKey, request PollRequest) PollResponse {
 	response := PollResponse{update: w.directory.Since(request.epoch, request.version, key.announcements), staleness: w.now.Sub(w.lastLeaderContact())}
 	if request.configNumber < w.document.Number() {
 		response.document = w.document
@@ -120,15 +134,7 @@
 	if !request.hasInitialMembers && w.registry != nil {
 		response.initialMembers = w.registry.state.InitialMembers()
 	}
-	payload, err := w.codec.PollResponse.Encode(response)
-	if err != nil {
-		event.CallEncodingFailed.Log(w.logger, "call", "news", "to", requester.from, "error", err)
-		return
-	}
-	if full {
-		w.fullResponse = fullResponse{key: key, payload: payload, encodedAt: w.now, urgentVersion: w.directory.UrgentVersion()}
-	}
-	w.reply(requester, call.StatusDone, payload)
+	return response
 }
 
 // lastLeaderContact returns the time of the last contact with the leader of the
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -60,7 +60,7 @@
 	document       registry.Document
 	config         *routing.Config
 	initialMembers []ledger.Member
-	fullResponse   fullResponse
+	responses      *responseCache
 
 	now                    time.Time
 	runAgain               bool     // the next tick is due at once
@@ -121,7 +121,7 @@
 		persist: func(uint64, []ledger.Record) {}, send: func(Packet) {}, publish: func(*Snapshot) {},
 		background: func(work func()) { work() }, post: func(Input) {},
 		ledgers: ledger.New(self.Address()),
-		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()),
+		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), responses: newResponseCache(),
 		snapshotStale: true, now: now, wallClock: func() time.Time { return now },
 		heapBytes: func() uint64 { return 0 },
 	}
