Packets to many instances share a large payload

Cause: each sender copied the payload of a reply twice, into the encoded packet and into its frame, and held both while its link was busy: 620 kB for each of up to 236 instances. Ruled out: a limit on packets that are sent at once (one frozen instance would hold up others for the time of a write). Change: a large payload of a packet's last reply is written as a part of its own, from the shared bytes. The bytes on the wire are the same.

--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -72,7 +72,7 @@
 
 // send sends a packet to another instance.
 func (p *Process) send(packet cluster.Packet) {
-	p.peerClient.Send(context.Background(), packet.To(), func() ([]byte, error) { return peer.EncodeCluster(packet) })
+	p.peerClient.Send(context.Background(), packet.To(), func() ([][]byte, error) { return peer.EncodeCluster(packet) })
 }
 
 // publish stores a new snapshot for the other threads.
--- a/io/instance/instance.go
+++ b/io/instance/instance.go
@@ -191,7 +191,10 @@
 		control.WithLogger(i.logger), control.WithPlacements(s.Placements()...),
 		control.WithCompactAfter(s.CompactAfter()), control.WithLease(s.ItemLease()),
 		control.WithPersist(i.persist), control.WithSend(func(p control.Packet) {
-			i.peerClient.Send(context.Background(), p.Address(), func() ([]byte, error) { return peer.Encode(p) })
+			i.peerClient.Send(context.Background(), p.Address(), func() ([][]byte, error) {
+				data, err := peer.Encode(p)
+				return [][]byte{data}, err
+			})
 		}),
 		control.WithPublish(i.publish), control.WithPost(i.controlInbox.Post),
 		control.WithBackground(func(work func()) { go work() }),
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -63,16 +63,17 @@
 type sender struct {
 	client  *Client
 	address string
-	queue   chan func() ([]byte, error)
+	queue   chan func() ([][]byte, error)
 }
 
 // Send queues a packet for the instance at a peer address. It never blocks and
-// drops the packet when the queue is full. encode runs on another goroutine.
-func (c *Client) Send(ctx context.Context, address string, encode func() ([]byte, error)) {
+// drops the packet when the queue is full. encode runs on another goroutine and returns
+// the encoded packet in parts, at least one.
+func (c *Client) Send(ctx context.Context, address string, encode func() ([][]byte, error)) {
 	c.mu.Lock()
 	s := c.senders[address]
 	if s == nil {
-		s = &sender{client: c, address: address, queue: make(chan func() ([]byte, error), maxQueuedPackets)}
+		s = &sender{client: c, address: address, queue: make(chan func() ([][]byte, error), maxQueuedPackets)}
 		c.senders[address] = s
 		go s.run(ctx)
 	}
@@ -131,7 +132,7 @@
 
 // next returns the next packet, or false when the sender must stop. It removes an
 // idle sender from the client.
-func (s *sender) next(ctx context.Context) (func() ([]byte, error), bool) {
+func (s *sender) next(ctx context.Context) (func() ([][]byte, error), bool) {
 	idle := time.NewTimer(idleCloseTimeout)
 	defer idle.Stop()
 	select {
@@ -180,7 +181,7 @@
 }
 
 // write encodes and sends one packet.
-func (s *sender) write(rpc *jsonrpc2.Conn, conn net.Conn, encode func() ([]byte, error)) error {
+func (s *sender) write(rpc *jsonrpc2.Conn, conn net.Conn, encode func() ([][]byte, error)) error {
 	data, err := encode()
 	if err != nil {
 		return nil // an encoding error must not close the connection
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -55,12 +55,21 @@
 	return errors.Wrap(err, "write frame")
 }
 
-// writePacket writes one frame with an encoded packet.
-func writePacket(stream io.Writer, data []byte) error {
-	frame := make([]byte, 0, len(data)+1+binary.MaxVarintLen64)
-	frame = append(binary.AppendUvarint(frame, uint64(len(data)+1)), packetPrefix)
-	_, err := stream.Write(append(frame, data...))
-	return errors.Wrap(err, "write packet")
+// writePacket writes one frame with an encoded packet in parts. The first part is copied
+// behind the frame's header; the others may be shared by packets to many instances.
+func writePacket(stream io.Writer, parts [][]byte) error {
+	size := 1
+	for _, part := range parts {
+		size += len(part)
+	}
+	first := make([]byte, 0, len(parts[0])+1+binary.MaxVarintLen64)
+	first = append(append(binary.AppendUvarint(first, uint64(size)), packetPrefix), parts[0]...)
+	for _, part := range append([][]byte{first}, parts[1:]...) {
+		if _, err := stream.Write(part); err != nil {
+			return errors.Wrap(err, "write packet")
+		}
+	}
+	return nil
 }
 
 // ReadObject reads frames until the next JSON-RPC object and decodes it into
--- a/io/peer/wire_cluster.go
+++ b/io/peer/wire_cluster.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"encoding/binary"
 	"time"
 
 	"papayaquay/core/call"
@@ -39,8 +40,20 @@
 	Payload []byte
 }
 
-// EncodeCluster encodes a packet of a cluster world.
-func EncodeCluster(p cluster.Packet) ([]byte, error) {
+// minSharedPayloadBytes is the size from which the payload of a packet's last reply is a part
+// of its own. A smaller one is cheaper to copy.
+const minSharedPayloadBytes = 16 << 10
+
+// CBOR encoding of byte strings (RFC 8949, section 3).
+const (
+	emptyByteString = 0x40
+	byteStringHead  = 0x5a // followed by a length of four bytes
+)
+
+// EncodeCluster encodes a packet of a cluster world in one or two parts. The second part is
+// the payload of the last reply: it may be a large document that is sent to many instances
+// at the same time, and which must not be in memory once for each of them.
+func EncodeCluster(p cluster.Packet) ([][]byte, error) {
 	wire := clusterPacket{From: p.From(), To: p.To()}
 	for _, m := range p.LedgerMessages() {
 		wire.LedgerMessages = append(wire.LedgerMessages, toLedger(m))
@@ -53,8 +66,22 @@
 		wire.Replies = append(wire.Replies, clusterReply{Number: r.Number(), Status: uint8(r.Status()),
 			Leader: r.Leader(), Payload: r.Payload()})
 	}
+	var shared []byte
+	if n := len(wire.Replies); n > 0 && len(wire.Replies[n-1].Payload) >= minSharedPayloadBytes {
+		shared, wire.Replies[n-1].Payload = wire.Replies[n-1].Payload, []byte{}
+	}
 	data, err := cbor.Marshal(wire)
-	return data, errors.Wrap(err, "encode packet")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode packet")
+	}
+	if shared == nil {
+		return [][]byte{data}, nil
+	}
+	if data[len(data)-1] != emptyByteString {
+		return nil, errors.New("a packet does not end with the payload of its last reply")
+	}
+	data = binary.BigEndian.AppendUint32(append(data[:len(data)-1], byteStringHead), uint32(len(shared)))
+	return [][]byte{data, shared}, nil
 }
 
 // DecodeCluster is the inverse of EncodeCluster.
