--- a/core/entry/system_limit.go
+++ b/core/entry/system_limit.go
@@ -35,8 +35,8 @@
 }
 
 // limit returns the limit of a server and the requests that other instances sent to it. An
-// own answer counts for ownLimitAge, since the reports
-// of the other instances are older. Without reports the limit that was known last counts.
+// own answer counts for ownLimitAge, since the reports of the other instances are older.
+// Without reports the limit that was known last counts.
 func (w *World) limit(now time.Time, b member.Backend) (limit usage.Limit, others usage.Sent) {
 	row := w.servers.Get(b.ID())
 	if !w.snapshot().HasLoads() {
@@ -74,7 +74,7 @@
 
 // hasRoom reports whether the limit of a server, if it has one, allows another request.
 // Requests that may have run elsewhere may exceed the limit a little, because they cannot be
-// rejected any more.
+// rejected any more. It remembers the limit for a time in which no loads are known.
 func (w *World) hasRoom(now time.Time, b member.Backend, restarted bool) bool {
 	limit, others := w.limit(now, b)
 	if limit.PerSecond() == 0 {
