A reply to a call before a restart cannot answer a later call

What callers see: a read of a job's results gets other content. The same fault acknowledges a change of the configuration or a job that was never proposed (CONFIG, LOST), or answers a read of the configuration with something else. Cause: an instance numbered its calls from 1 after each start, and replies are matched by the number. Long polls and calls for crash evidence wait up to 2 s at other instances, so their replies arrive after a restart. Class: an identifier that is unique in a lifetime only, used across lifetimes. Ruled out: checking the sender of a reply (a call to a ledger goes to several instances, and the same one may hold an old call); a restart pause (2 s without service). Change: the first number follows from the instance's incarnation, by a hash. Test: TestCallsOfTwoLifetimesHaveDifferentNumbers, at an entry, a control and a store instance; before, number 1 is in lifetimes 1 and 2.

--- a/core/call/world.go
+++ b/core/call/world.go
@@ -45,10 +45,22 @@
 	outgoing   []Outgoing
 }
 
+// WorldOption sets an optional parameter of a world.
+type WorldOption func(*World)
+
+// WithFirstNumber sets the number that precedes that of the first call. It must differ
+// between the lifetimes of an instance by more than the calls of one, since a reply to a call
+// of an earlier lifetime may still arrive.
+func WithFirstNumber(number uint64) WorldOption { return func(w *World) { w.lastNumber = number } }
+
 // NewWorld returns a world without calls. locate returns the leader of a
 // target's ledger, if it is known, and the instances that may know it.
-func NewWorld(locate func(Target) (leader string, members []string)) *World {
-	return &World{rows: table.New[uint64, callRow](), avoidUntil: make(map[string]time.Time), locate: locate}
+func NewWorld(locate func(Target) (leader string, members []string), options ...WorldOption) *World {
+	w := &World{rows: table.New[uint64, callRow](), avoidUntil: make(map[string]time.Time), locate: locate}
+	for _, option := range options {
+		option(w)
+	}
+	return w
 }
 
 // Start begins a call. done is called once, on the control thread.
--- a/core/cluster/scenario_test.go
+++ b/core/cluster/scenario_test.go
@@ -298,3 +298,34 @@
 	s.c.Assert(p.Results(), qt.HasLen, 1)
 	s.c.Assert(string(p.Results()[0].Text()), qt.Equals, "one\ntwo")
 }
+
+// TestCallsOfTwoLifetimesHaveDifferentNumbers checks that a reply to a call of an instance
+// before its restart cannot be taken for that to a later call. It would acknowledge a
+// change that was never made, or give the results of a job other content.
+func TestCallsOfTwoLifetimesHaveDifferentNumbers(t *testing.T) {
+	for _, test := range []struct {
+		instance string
+	}{{"e0"}, {"c0"}, {"s0"}} {
+		t.Run(test.instance, func(t *testing.T) {
+			s := newTestSystem(t, 3)
+			lifetimes := make(map[uint64]uint64) // by number of a call
+			n := s.instance(test.instance)
+			s.onSend = func(p Packet) {
+				if p.From() != test.instance {
+					return
+				}
+				for _, r := range p.Requests() {
+					first, sent := lifetimes[r.Number()]
+					s.c.Assert(!sent || first == n.starts, qt.IsTrue, qt.Commentf("number %d in lifetimes %d and %d", r.Number(), first, n.starts))
+					lifetimes[r.Number()] = n.starts
+				}
+			}
+			for range 3 {
+				s.run(2 * time.Second)
+				s.start(n, false)
+			}
+			s.run(2 * time.Second)
+			s.c.Assert(len(lifetimes) > 0, qt.IsTrue)
+		})
+	}
+}
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	"papayaquay/core/call"
@@ -11,6 +12,8 @@
 	"papayaquay/core/registry"
 	"papayaquay/core/routing"
 	"papayaquay/core/runner"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // IDs of the ledgers of a deployment.
@@ -136,7 +139,7 @@
 	}
 	w.directory = directory.New(self.Incarnation(), directoryOptions...)
 	w.quarantine = w.newQuarantine()
-	w.calls = call.NewWorld(w.locate)
+	w.calls = call.NewWorld(w.locate, call.WithFirstNumber(xxhash.Sum64String(strconv.FormatUint(self.Incarnation(), 10))))
 	w.upstreams = newUpstreams(self.Address(), upstreamLimit, w.logger)
 	w.upstreams.poll, w.upstreams.forget = w.pollUpstream, w.directory.RemoveUpstream
 	w.directory.UpdateInstance(now, self)
