The list of servers is copied only if one of them has a limit

Cause: each request built a list of the servers without a limit, also when no server had one. Change: the list itself is returned then. The chosen server follows the same rules.

--- a/core/entry/system_limit.go
+++ b/core/entry/system_limit.go
@@ -61,10 +61,15 @@
 	return limit.PerSecond() > 0
 }
 
-// unlimited returns the servers without a limit.
+// unlimited returns the servers without a limit. It copies the list only if it contains one
+// with a limit, since it runs for each request.
 func (w *World) unlimited(now time.Time, servers []directory.Server) []directory.Server {
-	var unlimited []directory.Server
-	for _, s := range servers {
+	first := slices.IndexFunc(servers, func(s directory.Server) bool { return w.isLimited(now, s.Backend()) })
+	if first < 0 {
+		return servers
+	}
+	unlimited := slices.Clone(servers[:first])
+	for _, s := range servers[first+1:] {
 		if !w.isLimited(now, s.Backend()) {
 			unlimited = append(unlimited, s)
 		}
