--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -197,8 +197,7 @@
 			}
 			n.inbox = append(n.inbox, Synced(sequence))
 		}),
-		WithSend(func(p Packet) { s.deliver(n, p) }), WithPublish(func(x *Snapshot) { n.snapshot = x }),
-		WithBackground(func(work func()) { work() }, func(i Input) { n.inbox = append(n.inbox, i) })}
+		WithSend(func(p Packet) { s.deliver(n, p) }), WithPublish(func(x *Snapshot) { n.snapshot = x })}
 	if n.role != directory.RoleEntry {
 		options = append(options, WithLedgers(s.host(n, first)))
 	}
--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -24,7 +24,6 @@
 	answered       *quarantine.CrashID
 	seeds          []string
 	reportTransfer func(leading int)
-	work           func()
 }
 
 // PacketReceived delivers a packet from another instance.
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -45,8 +45,6 @@
 		w.seeds, w.controlList, w.contactPointsVersion = input.seeds, nil, 0
 	case input.reportTransfer != nil:
 		w.reportTransfer = input.reportTransfer
-	case input.work != nil:
-		input.work()
 	}
 }
 
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -30,17 +30,15 @@
 
 // World is the control world. Only one goroutine may use it.
 type World struct {
-	self       directory.Instance
-	logger     *slog.Logger
-	codec      Codec
-	decode     func([]byte) (*routing.Config, error)
-	persist    func(sequence uint64, records []ledger.Record)
-	send       func(Packet)
-	publish    func(*Snapshot)
-	background func(func())
-	post       func(Input)
-	wallClock  func() time.Time // time of day
-	heapBytes  func() uint64
+	self      directory.Instance
+	logger    *slog.Logger
+	codec     Codec
+	decode    func([]byte) (*routing.Config, error)
+	persist   func(sequence uint64, records []ledger.Record)
+	send      func(Packet)
+	publish   func(*Snapshot)
+	wallClock func() time.Time // time of day
+	heapBytes func() uint64
 
 	maxJobBytes int // 0: no limit
 
@@ -97,12 +95,6 @@
 // WithPublish sets the function that receives each new snapshot.
 func WithPublish(publish func(*Snapshot)) Option { return func(w *World) { w.publish = publish } }
 
-// WithBackground sets the functions that run work off the control thread and
-// post inputs to this world's inbox.
-func WithBackground(background func(func()), post func(Input)) Option {
-	return func(w *World) { w.background, w.post = background, post }
-}
-
 // WithWallClock sets the clock for the time of day.
 func WithWallClock(wall func() time.Time) Option { return func(w *World) { w.wallClock = wall } }
 
@@ -122,7 +114,6 @@
 	w := &World{
 		self: self, codec: codec, decode: decode, logger: slog.New(slog.DiscardHandler),
 		persist: func(uint64, []ledger.Record) {}, send: func(Packet) {}, publish: func(*Snapshot) {},
-		background: func(work func()) { work() }, post: func(Input) {},
 		ledgers: ledger.New(self.Address()),
 		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), responses: newResponseCache(),
 		snapshotStale: true, now: now, wallClock: func() time.Time { return now },
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -56,7 +56,6 @@
 		cluster.WithLogger(p.logger), cluster.WithSeeds(s.Seeds()), cluster.WithWallClock(p.wallClock), cluster.WithHeapBytes(heapBytes),
 		cluster.WithPersist(func(sequence uint64, records []ledger.Record) { p.store.Append(sequence, records) }),
 		cluster.WithSend(p.send), cluster.WithPublish(p.publish),
-		cluster.WithBackground(func(work func()) { go work() }, p.inbox.Post),
 	}
 	if s.Role() != settings.RoleEntry {
 		options = append(options, cluster.WithLedgers(p.hostLedger(now)))
