A test reproduces that large documents delay leaves (DRAIN), listed as red

Entry instances get packets over links with a bandwidth. With links that take a second for a document, two documents in 0.5 s keep the list of servers from changing for more than 2 s after the ack of a leave. Fails on this code:

--- FAIL: TestLargeDocumentsDelayLeaves/links_that_take_a_second_for_a_document

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -126,6 +126,14 @@
 	attempts   []runner.Attempt
 	stopped    []uint64
 	snapshot   *Snapshot
+	linkFreeAt time.Time       // when the last packet to it has arrived
+	arriving   []arrivingInput // packets on its link
+}
+
+// arrivingInput is a packet on its way over a link with a bandwidth.
+type arrivingInput struct {
+	at    time.Time
+	input Input
 }
 
 // testSystem is a simulated deployment.
@@ -138,6 +146,8 @@
 	voters     int // in each ledger
 	isLinkDown func(from, to string) bool
 	onSend     func(Packet) // called with every packet
+
+	entryLinkBytes int // bytes per second that each entry instance receives at most; 0 means no limit
 }
 
 // newTestSystem returns a deployment of three control instances, the given
@@ -248,11 +258,46 @@
 	s.onSend(p)
 	for _, n := range s.instances {
 		if n.address == p.To() && !n.down && !s.isLinkDown(from.address, n.address) {
-			n.inbox = append(n.inbox, PacketReceived(p))
+			s.transfer(n, p)
 		}
 	}
 }
 
+// transfer puts a packet into the inbox of its receiver, after the time that it takes on the
+// receiver's link.
+func (s *testSystem) transfer(n *testInstance, p Packet) {
+	if s.entryLinkBytes == 0 || n.role != directory.RoleEntry {
+		n.inbox = append(n.inbox, PacketReceived(p))
+		return
+	}
+	if n.linkFreeAt.Before(s.now) {
+		n.linkFreeAt = s.now
+	}
+	n.linkFreeAt = n.linkFreeAt.Add(time.Duration(s.packetBytes(p)) * time.Second / time.Duration(s.entryLinkBytes))
+	n.arriving = append(n.arriving, arrivingInput{at: n.linkFreeAt, input: PacketReceived(p)})
+}
+
+// packetBytes returns the size of a packet on a link: that of its payloads and of the
+// documents in them, which the encodings of the tests keep elsewhere.
+func (s *testSystem) packetBytes(p Packet) int {
+	size := 0
+	for _, r := range p.Replies() {
+		size += len(r.Payload())
+		if response, err := s.codec.PollResponse.Decode(r.Payload()); err == nil {
+			size += len(response.Document().Content())
+		}
+	}
+	return size
+}
+
+// receiveArrived puts the packets that have arrived into the inbox of an instance.
+func (s *testSystem) receiveArrived(n *testInstance) {
+	for len(n.arriving) > 0 && !n.arriving[0].at.After(s.now) {
+		n.inbox = append(n.inbox, n.arriving[0].input)
+		n.arriving = n.arriving[1:]
+	}
+}
+
 // run advances the simulated time by d.
 func (s *testSystem) run(d time.Duration) {
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(tickStep) {
@@ -260,6 +305,7 @@
 			if n.down || n.world == nil {
 				continue
 			}
+			s.receiveArrived(n)
 			inputs := n.inbox
 			n.inbox = nil
 			n.world.Step(s.now, inputs)
@@ -283,13 +329,37 @@
 
 // configure proposes a configuration document with a number.
 func (s *testSystem) configure(at string, number uint64) call.Status {
-	content, err := json.Marshal(number)
-	s.c.Assert(err, qt.IsNil)
+	return s.configureSized(at, number, 0)
+}
+
+// configureSized proposes a configuration document with a number and a minimum size.
+func (s *testSystem) configureSized(at string, number uint64, bytes int) call.Status {
+	content := fmt.Appendf(nil, "%*d", bytes, number)
 	payload, err := s.codec.Registry.Encode(registry.Configure(registry.NewDocument(number, content)))
 	s.c.Assert(err, qt.IsNil)
 	return s.call(at, call.KindPropose, call.TargetControl, payload).Status()
 }
 
+// leave reports the leave of a backend server to a control instance and returns the status
+// of the acknowledgement.
+func (s *testSystem) leave(at string, b member.Backend) call.Status {
+	status := call.Status(0)
+	n := s.instance(at)
+	n.inbox = append(n.inbox, Leave(b, func(r call.Reply) { status = r.Status() }))
+	for range 1000 {
+		if s.run(tickStep); status != 0 {
+			return status
+		}
+	}
+	s.c.Fatalf("no acknowledgement of a leave at %s", at)
+	return 0
+}
+
+// lists reports whether an instance lists a backend server for new work.
+func (s *testSystem) lists(at, backend string) bool {
+	return slices.ContainsFunc(s.instance(at).snapshot.Servers(), func(server directory.Server) bool { return server.Backend().ID() == backend })
+}
+
 // document reads the newest configuration document.
 func (s *testSystem) document(at string) (call.Status, string) {
 	r := s.call(at, call.KindDocument, call.TargetControl, nil)
