Configuration documents are fetched in parts, apart from the polls (DRAIN, CONFIG)

Callers: on slow links requests were sent to leaving servers up to 3.1 s after the ack, and requests to new routes were answered 404 too late.

Cause: poll responses carried whole documents. Two upstreams sent a document of 553 kB at once; polls timed out during the transfer, dropped both upstreams and asked for everything again, while the abandoned responses kept the link full for seconds (congestion collapse). Changes of servers waited behind them.

Both late requests came from instances without an upstream.

Ruled out: late news between control instances (the late instances had no upstream at all); lack of processor time (1 to 5% of a core, of 13%). Not chosen: longer timeouts of polls, which would find lost upstreams later and leave the queueing.

Change: a poll response names the number of the newest document. Another upstream continues where one was lost. Documents are encoded once. Instances of earlier versions still get whole documents; control instances must be upgraded first.

TestDocumentIsEncodedOnceForAllPolls counts encodings of documents in transfer and whole ones in responses, with the same bound.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -56,12 +56,24 @@
 		Registry: storedEncoding[registry.Command](v), RegistryState: storedEncoding[*registry.State](v),
 		Batch: storedEncoding[batch.Command](v), BatchSnapshot: storedEncoding[BatchSnapshot](v),
 		PollRequest: storedEncoding[PollRequest](v), PollResponse: storedEncoding[PollResponse](v),
+		Document: NewEncoding(encodeTestDocument, decodeTestDocument), DocumentRequest: storedEncoding[DocumentRequest](v), DocumentPart: storedEncoding[DocumentPart](v),
 		SyncRequest: storedEncoding[usage.SyncRequest](v), LoadUpdate: storedEncoding[LoadUpdate](v),
 		EvidenceRequest: storedEncoding[quarantine.SyncRequest](v), EvidenceUpdate: storedEncoding[quarantine.Update](v),
 		Query: storedEncoding[Query](v), Page: storedEncoding[batch.Page](v),
 	}
 }
 
+// encodeTestDocument encodes a document, whose content is its number, in the size of its
+// content.
+func encodeTestDocument(d registry.Document) ([]byte, error) { return d.Content(), nil }
+
+// decodeTestDocument decodes a document.
+func decodeTestDocument(data []byte) (registry.Document, error) {
+	var number uint64
+	err := json.Unmarshal(data, &number)
+	return registry.NewDocument(number, data), err
+}
+
 // testDisk is the durable state of an instance.
 type testDisk struct {
 	nonce    int // number of times that the disk was replaced
@@ -286,6 +298,9 @@
 		if response, err := s.codec.PollResponse.Decode(r.Payload()); err == nil {
 			size += len(response.Document().Content())
 		}
+		if part, err := s.codec.DocumentPart.Decode(r.Payload()); err == nil {
+			size += len(part.Data())
+		}
 	}
 	return size
 }
--- a/core/cluster/codec.go
+++ b/core/cluster/codec.go
@@ -36,15 +36,27 @@
 	version           uint64
 	configNumber      uint64
 	hasInitialMembers bool
+	fetchesParts      bool
 }
 
 // NewPollRequest returns a poll of an instance: the directory version and the
-// configuration number that it has, and whether it needs no list of initial
+// configuration number that it knows, and whether it needs no list of initial
 // members of the jobs ledger.
 func NewPollRequest(instance directory.Instance, epoch, version, configNumber uint64, hasInitialMembers bool) PollRequest {
 	return PollRequest{instance: instance, epoch: epoch, version: version, configNumber: configNumber, hasInitialMembers: hasInitialMembers}
 }
 
+// WithFetchedDocuments returns a copy of the poll of an instance that fetches documents in
+// parts. Its responses contain the number of a newer document only. Instances of earlier
+// versions need whole documents.
+func (r PollRequest) WithFetchedDocuments() PollRequest {
+	r.fetchesParts = true
+	return r
+}
+
+// FetchesDocuments reports whether the polling instance fetches documents in parts.
+func (r PollRequest) FetchesDocuments() bool { return r.fetchesParts }
+
 // Instance returns the description of the polling instance.
 func (r PollRequest) Instance() directory.Instance { return r.instance }
 
@@ -54,7 +66,8 @@
 // Version returns the directory version of the polling instance; 0 means none.
 func (r PollRequest) Version() uint64 { return r.version }
 
-// ConfigNumber returns the number of the polling instance's configuration.
+// ConfigNumber returns the number of the newest configuration that the polling instance
+// knows of.
 func (r PollRequest) ConfigNumber() uint64 { return r.configNumber }
 
 // HasInitialMembers reports whether the polling instance needs no list of
@@ -70,7 +83,7 @@
 }
 
 // NewPollResponse returns the changes of the directory, a newer configuration if
-// there is one, the initial members of the jobs ledger if they are needed, and
+// there is one (without its content if the polling instance fetches it in parts), the initial members of the jobs ledger if they are needed, and
 // the staleness of all these: the time since the sender's last contact with the
 // leader of the control ledger.
 func NewPollResponse(update directory.Update, document registry.Document, initialMembers []ledger.Member, staleness time.Duration) PollResponse {
@@ -142,6 +155,9 @@
 	BatchSnapshot   Encoding[BatchSnapshot]
 	PollRequest     Encoding[PollRequest]
 	PollResponse    Encoding[PollResponse]
+	Document        Encoding[registry.Document]
+	DocumentRequest Encoding[DocumentRequest]
+	DocumentPart    Encoding[DocumentPart]
 	SyncRequest     Encoding[usage.SyncRequest]
 	LoadUpdate      Encoding[LoadUpdate]
 	EvidenceRequest Encoding[quarantine.SyncRequest]
--- a/core/cluster/large_document_test.go
+++ b/core/cluster/large_document_test.go
@@ -47,3 +47,49 @@
 		})
 	}
 }
+
+// TestDocumentTransferContinues guards against transfers of large documents that begin anew,
+// or never end, when an upstream is lost or a newer document appears.
+func TestDocumentTransferContinues(t *testing.T) {
+	const documentBytes, linkBytes = 1_000_000, 1_000_000
+	for _, test := range []struct {
+		name      string
+		lose      int // upstreams lost during the transfer
+		newer     int // newer documents during the transfer
+		maxParts  int // received by one entry instance
+		transfers int // time that the transfers may take, in transfers of one document
+	}{
+		{"undisturbed", 0, 0, 16, 2},
+		{"an upstream is lost", 1, 0, 18, 3},
+		{"newer documents appear", 0, 3, 48, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 0)
+			s.run(4 * time.Second)
+			s.entryLinkBytes = linkBytes
+			parts := 0
+			s.onSend = func(p Packet) {
+				for _, r := range p.Replies() {
+					if _, err := s.codec.DocumentPart.Decode(r.Payload()); err == nil && p.To() == "e0" {
+						parts++
+					}
+				}
+			}
+			number := uint64(1)
+			s.c.Assert(s.configureSized("c0", number, documentBytes), qt.Equals, call.StatusDone)
+			for range test.newer {
+				s.run(200 * time.Millisecond)
+				number++
+				s.c.Assert(s.configureSized("c0", number, documentBytes), qt.Equals, call.StatusDone)
+			}
+			s.run(300 * time.Millisecond)
+			for _, address := range s.instance("e0").world.documentSources()[:test.lose] {
+				s.instance(address).down = true
+			}
+			s.run(time.Duration(test.transfers) * time.Second * documentBytes / linkBytes)
+			s.c.Assert(s.instance("e0").snapshot.Config(), qt.IsNotNil)
+			s.c.Check(s.instance("e0").snapshot.Config().Number(), qt.Equals, number)
+			s.c.Check(parts <= test.maxParts, qt.IsTrue, qt.Commentf("%d parts", parts))
+		})
+	}
+}
--- a/core/cluster/poll_test.go
+++ b/core/cluster/poll_test.go
@@ -7,6 +7,7 @@
 
 	"papayaquay/core/call"
 	"papayaquay/core/directory"
+	"papayaquay/core/registry"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -76,13 +77,18 @@
 	const entries = 30
 	s := newTestSystem(t, 0)
 	encoded := 0
-	plain := s.codec.PollResponse
+	plain := s.codec.Document
+	s.codec.Document = NewEncoding(func(d registry.Document) ([]byte, error) {
+		encoded++
+		return plain.Encode(d)
+	}, plain.Decode)
+	responses := s.codec.PollResponse
 	s.codec.PollResponse = NewEncoding(func(r PollResponse) ([]byte, error) {
-		if r.document.Number() > 0 {
+		if len(r.document.Content()) > 0 {
 			encoded++
 		}
-		return plain.Encode(r)
-	}, plain.Decode)
+		return responses.Encode(r)
+	}, responses.Decode)
 	for i := range entries {
 		s.add(fmt.Sprintf("x%d", i), directory.RoleEntry, "z0")
 	}
--- a/core/cluster/response_cache.go
+++ b/core/cluster/response_cache.go
@@ -14,6 +14,7 @@
 	version           uint64 // of the polling instance's directory, 0 for a full response
 	configNumber      uint64 // of the polling instance
 	document          uint64 // number of the newest document here
+	fetchesParts      bool   // the polling instance fetches documents in parts
 	hasInitialMembers bool
 	announcements     bool // each announcement of a server is included
 }
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -19,6 +19,8 @@
 		w.servePropose(now, requester, r.Payload())
 	case call.KindDocument:
 		w.serveDocument(requester)
+	case call.KindDocumentPart:
+		w.serveDocumentPart(now, requester, r)
 	case call.KindUsage:
 		w.serveUsage(now, requester, r.Payload())
 	case call.KindCollect:
--- a/core/cluster/system_poll.go
+++ b/core/cluster/system_poll.go
@@ -14,15 +14,19 @@
 // for the initial members of the jobs ledger until it knows them or is a member
 // itself. One that is not among them may have no replica for a long time, and each
 // of its polls would be answered at once if it went on asking for them.
-func (w *World) pollRequest(row *upstreamRow) PollRequest {
+func (w *World) pollRequest(address string, row *upstreamRow) PollRequest {
 	hasInitialMembers := w.hosted() != JobsLedger || !w.self.Uninitialized() || len(w.initialMembers) > 0
-	return NewPollRequest(w.self, row.epoch, row.version, w.document.Number(), hasInitialMembers)
+	known := w.document.Number()
+	if row.answered {
+		known = max(known, w.documents.announced[address])
+	}
+	return NewPollRequest(w.self, row.epoch, row.version, known, hasInitialMembers).WithFetchedDocuments()
 }
 
 // pollUpstream polls an upstream and calls done at the end of the call. The poll
 // waits for an update only if the upstream has answered before.
 func (w *World) pollUpstream(now time.Time, address string, row *upstreamRow, done func(call.Reply)) {
-	payload, err := w.codec.PollRequest.Encode(w.pollRequest(row))
+	payload, err := w.codec.PollRequest.Encode(w.pollRequest(address, row))
 	if err != nil {
 		event.CallEncodingFailed.Log(w.logger, "call", "follow", "to", address, "error", err)
 		w.upstreams.markFailed(now, address)
@@ -48,7 +52,7 @@
 // notifyUpstreams sends a change of this instance to each upstream at once.
 func (w *World) notifyUpstreams(now time.Time) {
 	w.upstreams.rows.Each(func(address string, row *upstreamRow) {
-		payload, err := w.codec.PollRequest.Encode(w.pollRequest(row))
+		payload, err := w.codec.PollRequest.Encode(w.pollRequest(address, row))
 		if err != nil {
 			event.CallEncodingFailed.Log(w.logger, "call", "follow", "to", address, "error", err)
 			return
@@ -71,7 +75,9 @@
 	}
 	w.directory.Merge(w.now, response.update)
 	w.upstreams.recordResponse(w.now, address, response)
-	w.setDocument(response.document, "upstream "+address)
+	if number := response.document.Number(); number > 0 {
+		w.documents.announce(w.now, address, number)
+	}
 	w.bootstrapJobsLedger(response.initialMembers)
 }
 
@@ -107,7 +113,7 @@
 // share one response, which is encoded once: those without any state after a start, and
 // all that wait for a new document.
 func (w *World) answerPoll(requester requesterKey, request PollRequest) {
-	key := responseKey{version: request.version, configNumber: request.configNumber, document: w.document.Number(),
+	key := responseKey{version: request.version, configNumber: request.configNumber, document: w.document.Number(), fetchesParts: request.fetchesParts,
 		hasInitialMembers: request.hasInitialMembers, announcements: request.instance.Role() == directory.RoleControl}
 	version := w.directory.Version()
 	if request.epoch != w.directory.Epoch() || request.version == 0 {
@@ -128,9 +134,7 @@
 // pollResponse returns the response to a poll.
 func (w *World) pollResponse(key responseKey, request PollRequest) PollResponse {
 	response := PollResponse{update: w.directory.Since(request.epoch, request.version, key.announcements), staleness: w.now.Sub(w.lastLeaderContact())}
-	if request.configNumber < w.document.Number() {
-		response.document = w.document
-	}
+	response.document = w.announcedDocument(request)
 	if !request.hasInitialMembers && w.registry != nil {
 		response.initialMembers = w.registry.state.InitialMembers()
 	}
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -54,11 +54,13 @@
 	readiness    *readiness
 	quarantine   *quarantine.World // nil at store instances
 	evidence     *evidenceExchange
+	documents    *documentFetch
 	servers      *serverList
 	outbox       *outbox
 
 	seeds          []string
 	document       registry.Document
+	encoded        *encodedDocuments
 	config         *routing.Config
 	initialMembers []ledger.Member
 	responses      *responseCache
@@ -115,7 +117,7 @@
 		self: self, codec: codec, decode: decode, logger: slog.New(slog.DiscardHandler),
 		persist: func(uint64, []ledger.Record) {}, send: func(Packet) {}, publish: func(*Snapshot) {},
 		ledgers: ledger.New(self.Address()),
-		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), responses: newResponseCache(),
+		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), documents: newDocumentFetch(), encoded: newEncodedDocuments(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), responses: newResponseCache(),
 		snapshotStale: true, now: now, wallClock: func() time.Time { return now },
 		heapBytes: func() uint64 { return 0 },
 	}
@@ -146,6 +148,7 @@
 	}
 	w.directory.Run(now)
 	w.upstreams.run(now, w.controls())
+	w.runDocumentFetch(now)
 	w.runJobs(now)
 	w.runLoadReporter(now)
 	w.runQuarantine(now)
@@ -250,6 +253,7 @@
 	consider(w.polls.next())
 	consider(w.loadReporter.next())
 	consider(w.nextEvidence())
+	consider(w.nextDocumentFetch())
 	if w.jobs != nil {
 		consider(w.jobs.next(w.now))
 	}
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -23,6 +23,9 @@
 		BatchSnapshot:   cluster.NewEncoding(encodeBatchSnapshot, decodeBatchSnapshot),
 		PollRequest:     cluster.NewEncoding(encodePollRequest, decodePollRequest),
 		PollResponse:    cluster.NewEncoding(encodePollResponse, decodePollResponse),
+		Document:        cluster.NewEncoding(encodeDocument, decodeDocument),
+		DocumentRequest: cluster.NewEncoding(encodeDocumentRequest, decodeDocumentRequest),
+		DocumentPart:    cluster.NewEncoding(encodeDocumentPart, decodeDocumentPart),
 		SyncRequest:     cluster.NewEncoding(encodeSyncRequest, decodeSyncRequest),
 		LoadUpdate:      cluster.NewEncoding(encodeLoadUpdate, decodeLoadUpdate),
 		EvidenceRequest: cluster.NewEncoding(encodeEvidenceRequest, decodeEvidenceRequest),
@@ -179,18 +182,43 @@
 	Founded bool   // the instance has the initial members of the jobs ledger
 }
 
+// partsPollRequest is the wire format of a cluster.PollRequest of an instance that fetches
+// documents in parts. Instances of earlier versions send a pollRequest.
+type partsPollRequest struct {
+	_    struct{} `cbor:",toarray"`
+	Poll pollRequest
+}
+
+// arrayOf1 is the first byte of an array of one element (RFC 8949, section 3).
+const arrayOf1 = 0x81
+
 // encodePollRequest encodes a poll request.
 func encodePollRequest(r cluster.PollRequest) ([]byte, error) {
-	data, err := cbor.Marshal(pollRequest{Node: toNode(r.Instance()), Epoch: r.Epoch(), Version: r.Version(),
-		Number: r.ConfigNumber(), Founded: r.HasInitialMembers()})
+	wire := pollRequest{Node: toNode(r.Instance()), Epoch: r.Epoch(), Version: r.Version(),
+		Number: r.ConfigNumber(), Founded: r.HasInitialMembers()}
+	var message any = wire
+	if r.FetchesDocuments() {
+		message = partsPollRequest{Poll: wire}
+	}
+	data, err := cbor.Marshal(message)
 	return data, errors.Wrap(err, "encode poll request")
 }
 
 // decodePollRequest decodes a poll request.
 func decodePollRequest(data []byte) (cluster.PollRequest, error) {
-	var wire pollRequest
-	err := Decode(data, &wire)
-	return cluster.NewPollRequest(wire.Node.node(), wire.Epoch, wire.Version, wire.Number, wire.Founded), err
+	var message partsPollRequest
+	var target any = &message.Poll
+	fetchesDocuments := len(data) > 0 && data[0] == arrayOf1
+	if fetchesDocuments {
+		target = &message
+	}
+	err := Decode(data, target)
+	wire := message.Poll
+	request := cluster.NewPollRequest(wire.Node.node(), wire.Epoch, wire.Version, wire.Number, wire.Founded)
+	if fetchesDocuments {
+		request = request.WithFetchedDocuments()
+	}
+	return request, err
 }
 
 // pollResponse is the wire format of cluster.PollResponse.
