A server that says in an answer that it leaves gets no further requests (DRAIN)

Callers: requests went on to a server whose answers said Server-Leaving, until a control instance told the entry instance of the leave. Cause: nothing read the header (new on the users' pages). A bound of an instance that no part of it owned.

Change: the header is decoded with the load report. The traffic thread stops using the incarnation at once and tells the control thread, whose directory marks it as leaving; at store instances items do the same. A later incarnation is used again.

Not chosen: telling other instances, since the acknowledged leave does that.

--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -4,6 +4,7 @@
 	"papayaquay/core/call"
 	"papayaquay/core/member"
 	"papayaquay/core/quarantine"
+	"papayaquay/core/registry"
 	"papayaquay/core/runner"
 	"papayaquay/core/usage"
 )
@@ -18,6 +19,7 @@
 	leave          *member.Backend
 	attempt        *runner.AttemptReport
 	itemLimit      *backendLimit
+	saidLeaving    *registry.LeavingBackend
 	usage          *usage.Report
 	crash          *quarantine.Crash
 	excluded       []quarantine.Part
@@ -57,6 +59,13 @@
 	return Input{itemLimit: &backendLimit{backend: backend, limit: limit}}
 }
 
+// ServerSaidLeaving reports that an incarnation of a backend server said in an answer that it
+// is leaving.
+func ServerSaidLeaving(backend string, incarnation uint64) Input {
+	b := registry.NewLeavingBackend(backend, incarnation)
+	return Input{saidLeaving: &b}
+}
+
 // UsageChanged reports the online requests that this entry instance runs.
 func UsageChanged(r usage.Report) Input { return Input{usage: &r} }
 
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -31,6 +31,8 @@
 		w.jobs.runner.Receive(now, *input.attempt)
 	case input.itemLimit != nil:
 		w.setItemLimit(now, input.itemLimit.backend, input.itemLimit.limit)
+	case input.saidLeaving != nil:
+		w.directory.MarkLeaving(now, input.saidLeaving.Backend(), input.saidLeaving.Incarnation())
 	case input.usage != nil:
 		w.loadReporter.setReport(now, *input.usage)
 	case input.crash != nil && w.quarantine != nil:
--- a/core/cluster/scenario_test.go
+++ b/core/cluster/scenario_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+// TestLeaveSaidToOneInstance checks that an instance to which a server said in an answer that it
+// is leaving does not list it any more, whatever the control instances say, until the server
+// starts again.
+func TestLeaveSaidToOneInstance(t *testing.T) {
+	for _, test := range []struct{ at, other string }{{"e0", "e1"}, {"s0", "e0"}} {
+		t.Run(test.at, func(t *testing.T) {
+			s := newTestSystem(t, 3)
+			s.run(4 * time.Second)
+			b := s.announce("c0", "b1", 1)
+			s.run(time.Second)
+			n := s.instance(test.at)
+			n.inbox = append(n.inbox, ServerSaidLeaving("b1", b.Incarnation()))
+			s.run(tickStep)
+			s.c.Check(s.lists(test.at, "b1"), qt.IsFalse)
+			s.announce("c0", "b1", 2)
+			s.run(time.Second)
+			s.c.Check(s.lists(test.at, "b1"), qt.IsFalse)
+			s.c.Check(s.lists(test.other, "b1"), qt.IsTrue)
+			c0 := s.instance("c0")
+			c0.inbox = append(c0.inbox, Announce(b.WithIncarnation(b.Incarnation()+1)))
+			s.run(time.Second)
+			s.c.Check(s.lists(test.at, "b1"), qt.IsTrue)
+		})
+	}
+}
+
 // TestReplacedDisk checks that instances that lose their disks one after the
 // other and restart without them lose nothing that was acknowledged.
 func TestReplacedDisk(t *testing.T) {
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -126,7 +126,7 @@
 	return names[s]
 }
 
-// LoadReport is the load that a backend server reports in a response header.
+// LoadReport is the load and the state that a backend server reports in a response header.
 type LoadReport struct {
 	running        int
 	waiting        int
@@ -134,6 +134,7 @@
 	latencyPercent int
 	idleTimeout    time.Duration
 	limit          float64
+	leaving        bool
 }
 
 // NewLoadReport returns a report of the number of running and waiting requests,
@@ -156,6 +157,15 @@
 	return l
 }
 
+// WithLeaving returns a copy of the report that says whether the server is leaving.
+func (l LoadReport) WithLeaving(leaving bool) LoadReport {
+	l.leaving = leaving
+	return l
+}
+
+// Leaving reports whether the server is leaving: it must get no new requests.
+func (l LoadReport) Leaving() bool { return l.leaving }
+
 // Limit returns the number of requests per second that the server takes from all instances
 // together, 0 if it named none.
 func (l LoadReport) Limit() float64 { return l.limit }
@@ -202,6 +212,7 @@
 	knownLimit   usage.Limit   // that this or another instance knew last
 	limitedAt    time.Time     // when it was last known to have a limit
 	soloAt       time.Time     // from when a request may be sent without knowledge of the others' requests
+	leaving      uint64        // incarnation that said that it is leaving, 0 for none
 	ejected      bool          // not used until a probe opens a connection
 	probing      bool          // a probe is running
 	address      string
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -56,7 +56,7 @@
 		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) {
 			continue
 		}
-		if !w.hasRoom(now, s.Backend(), row.startedAttempts > 0) {
+		if w.saidLeaving(s.Backend()) || !w.hasRoom(now, s.Backend(), row.startedAttempts > 0) {
 			continue
 		}
 		if includeAvoided || (!w.avoided(now, id) && (!s.Stale() || w.answeredRecently(now, id))) {
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -17,6 +17,9 @@
 	server.inFlight--
 	w.inFlightChanged = true
 	w.recordStatus(now, server, input.status)
+	if input.load.Leaving() {
+		w.recordLeave(row.backend, server, row.incarnation)
+	}
 	if input.status == AttemptNotRun {
 		w.setLimit(now, row.backend, server, row.incarnation, input.load)
 	}
--- a/core/entry/system_watch.go
+++ b/core/entry/system_watch.go
@@ -67,7 +67,7 @@
 // isUnused reports whether a server without requests was not used for unusedAfter and
 // nothing must be remembered about it.
 func (r *serverRow) isUnused(now time.Time) bool {
-	if r.ejected || now.Before(r.pausedUntil) || r.knownLimit.PerSecond() > 0 {
+	if r.ejected || now.Before(r.pausedUntil) || r.knownLimit.PerSecond() > 0 || r.leaving != 0 {
 		return false
 	}
 	return min(r.idleFor, now.Sub(r.lastAnswerAt)) > unusedAfter
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -43,6 +43,7 @@
 	checkCrash     func(id quarantine.CrashID, address string, others []string)
 	reportCrash    func(quarantine.Crash)
 	exclude        func([]quarantine.Part)
+	reportLeave    func(backend string, incarnation uint64)
 	refute         func(quarantine.CrashID)
 	dataCentre     string
 
@@ -98,6 +99,12 @@
 	}
 }
 
+// WithLeaveReport sets the function that receives a server that said in an answer that it is
+// leaving, with its incarnation.
+func WithLeaveReport(report func(backend string, incarnation uint64)) Option {
+	return func(w *World) { w.reportLeave = report }
+}
+
 // New returns a world without requests. dataCentre is the data centre of this
 // entry instance; snapshot returns the newest snapshot of the control world.
 func New(dataCentre string, snapshot func() *cluster.Snapshot, options ...Option) *World {
@@ -105,7 +112,7 @@
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
-		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {},
+		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, reportLeave: func(string, uint64) {},
 		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
@@ -258,6 +265,9 @@
 	}
 	row.headerAt = now
 	server := w.server(row.backend)
+	if load.Leaving() {
+		w.recordLeave(row.backend, server, row.incarnation)
+	}
 	w.setLimit(now, row.backend, server, row.incarnation, load)
 	server.idleTimeout = load.idleTimeout
 	if !load.Known() {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -60,6 +60,7 @@
 	BackendAdded         = Event{310, slog.LevelInfo, "a backend server announced itself"}
 	BackendLeaving       = Event{311, slog.LevelInfo, "a backend server takes no new work"}
 	BackendGone          = Event{312, slog.LevelWarn, "a backend server stopped announcing itself"}
+	BackendSaidLeaving   = Event{314, slog.LevelInfo, "a backend server said in an answer that it is leaving"}
 	AnnouncementRejected = Event{313, slog.LevelWarn, "an announcement of a backend server was rejected"}
 	PeerRejected         = Event{320, slog.LevelWarn, "a peer connection was rejected"}
 )
@@ -105,7 +106,7 @@
 		Started, Draining, Stopped, ShutdownTimedOut, ListenerFailed, SettingsReloaded, SettingsRejected, SpanExportFailed,
 		DiskWriteFailed, LogTruncated, LogCorrupt, ReplicaCreated,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
-		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, PeerRejected,
+		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged,
 		RequestEnded, AttemptStarted, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -68,6 +68,9 @@
 		report(p.forward.Collect(ctx, request, a.Backend(), a.LastEvent(), a.Progress(),
 			func(load entry.LoadReport) {
 				p.inbox.Post(cluster.ItemAnswered(a.Backend().ID(), usage.NewLimit(load.Limit(), a.Backend().Incarnation())))
+				if load.Leaving() {
+					p.inbox.Post(cluster.ServerSaidLeaving(a.Backend().ID(), a.Backend().Incarnation()))
+				}
 			},
 			func(text []byte, last uint64) { report(runner.AttemptPartial, text, last) }))
 	}()
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -107,7 +107,7 @@
 		case !ok:
 			return entry.AttemptUnreachable, entry.LoadReport{}
 		case reservation.Rejected():
-			return entry.AttemptNoSlot, entry.LoadReport{}
+			return entry.AttemptNoSlot, entry.LoadReport{}.WithLeaving(reservation.Leaving())
 		}
 		slot = reservation.Slot()
 	}
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -158,6 +158,9 @@
 	p.trafficWorld = entry.New(p.settings.DataCentre(), p.snapshot.Load,
 		entry.WithLogger(p.logger), entry.WithSeed(uint64(p.startedAt.UnixNano())),
 		entry.WithReport(func(r usageReport) { p.inbox.Post(cluster.UsageChanged(r)) }),
+		entry.WithLeaveReport(func(backend string, incarnation uint64) {
+			p.inbox.Post(cluster.ServerSaidLeaving(backend, incarnation))
+		}),
 		entry.WithObserver(metrics().requestEnded, metrics().attemptEnded),
 		entry.WithQuarantine(p.checkCrash,
 			func(c quarantine.Crash) { p.inbox.Post(cluster.ServerCrashed(c)) },
--- a/io/forward/endless_test.go
+++ b/io/forward/endless_test.go
@@ -167,7 +167,7 @@
 // withTestReservations returns the client with a codec that can encode reservations.
 func (c *Client) withTestReservations() *Client {
 	c.codec = c.codec.WithReservations(func(int, time.Duration) Call { return NewCall(http.MethodPost, "/reserve", nil) },
-		func(int, []byte) Reservation { return NewReservation("", false) })
+		func(int, http.Header, []byte) Reservation { return NewReservation("", false) })
 	return c
 }
 
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -76,7 +76,7 @@
 	setMetadata     func(h http.Header, m Metadata)
 	readHeader      func(id string, status int, h http.Header) ResponseHeader
 	newReserveCall  func(tokens int, maxDuration time.Duration) Call
-	readReservation func(status int, body []byte) Reservation
+	readReservation func(status int, h http.Header, body []byte) Reservation
 }
 
 // NewCodec returns a codec. setMetadata adds metadata to request headers;
@@ -87,7 +87,7 @@
 
 // WithReservations returns the codec with the functions that encode the call for
 // a slot and decode its response.
-func (c Codec) WithReservations(newReserveCall func(tokens int, maxDuration time.Duration) Call, readReservation func(status int, body []byte) Reservation) Codec {
+func (c Codec) WithReservations(newReserveCall func(tokens int, maxDuration time.Duration) Call, readReservation func(status int, h http.Header, body []byte) Reservation) Codec {
 	c.newReserveCall, c.readReservation = newReserveCall, readReservation
 	return c
 }
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -264,7 +264,7 @@
 				func(tokens int, _ time.Duration) Call {
 					return NewCall("POST", "/reserve", []byte(strconv.Itoa(tokens)))
 				},
-				func(status int, body []byte) Reservation {
+				func(status int, _ http.Header, body []byte) Reservation {
 					return NewReservation(string(body), status == http.StatusServiceUnavailable)
 				})
 			r, ok := New(codec).Reserve(context.Background(), s.backend(), 100, time.Second)
--- a/io/forward/reserve.go
+++ b/io/forward/reserve.go
@@ -33,6 +33,7 @@
 type Reservation struct {
 	slot     string
 	rejected bool
+	leaving  bool
 }
 
 // NewReservation returns a result: the reserved slot, or rejected if the server
@@ -42,10 +43,20 @@
 	return Reservation{slot: slot, rejected: rejected}
 }
 
+// FromLeaving returns a copy of the result of a server that is leaving: it counts as rejected,
+// since the server must get no new requests.
+func (r Reservation) FromLeaving() Reservation {
+	r.rejected, r.leaving = true, true
+	return r
+}
+
+// Leaving reports whether the server said that it is leaving.
+func (r Reservation) Leaving() bool { return r.leaving }
+
 // Slot returns the name of the reserved slot for the request, empty for none.
 func (r Reservation) Slot() string { return r.slot }
 
-// Rejected reports whether the server rejected the call because no slot is free.
+// Rejected reports whether the server rejected the call because no slot is free, or is leaving.
 func (r Reservation) Rejected() bool { return r.rejected }
 
 // Reserve reserves a slot for a request with the given number of tokens.
@@ -69,5 +80,5 @@
 	if err != nil {
 		return Reservation{}, false
 	}
-	return c.codec.readReservation(response.StatusCode, body), true
+	return c.codec.readReservation(response.StatusCode, response.Header, body), true
 }
