--- a/core/cluster/codec.go
+++ b/core/cluster/codec.go
@@ -80,6 +80,7 @@
 	document       registry.Document
 	initialMembers []ledger.Member
 	staleness      time.Duration
+	hasVersions    bool
 }
 
 // NewPollResponse returns the changes of the directory, a newer configuration if
@@ -90,6 +91,17 @@
 	return PollResponse{update: update, document: document, initialMembers: initialMembers, staleness: staleness}
 }
 
+// WithVersions returns a copy of the response that contains the software versions of the
+// backend servers. Instances of earlier versions don't understand it.
+func (r PollResponse) WithVersions() PollResponse {
+	r.hasVersions = true
+	return r
+}
+
+// HasVersions reports whether the response contains the software versions of the backend
+// servers.
+func (r PollResponse) HasVersions() bool { return r.hasVersions }
+
 // Update returns the changes of the directory.
 func (r PollResponse) Update() directory.Update { return r.update }
 
--- a/core/cluster/system_poll.go
+++ b/core/cluster/system_poll.go
@@ -134,6 +134,9 @@
 // pollResponse returns the response to a poll.
 func (w *World) pollResponse(key responseKey, request PollRequest) PollResponse {
 	response := PollResponse{update: w.directory.Since(request.epoch, request.version, key.announcements), staleness: w.now.Sub(w.lastLeaderContact())}
+	if request.fetchesParts {
+		response = response.WithVersions()
+	}
 	response.document = w.announcedDocument(request)
 	if !request.hasInitialMembers && w.registry != nil {
 		response.initialMembers = w.registry.state.InitialMembers()
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -185,6 +185,8 @@
 	rejections      int                // rejected reservations
 	backend         string             // of the current attempt
 	incarnation     uint64             // of the server of the current attempt
+	version         string             // software version of the server of the current attempt
+	stream          streamOrigin       // of the answer, once a part of it was sent to the caller
 	answerBegan     bool               // a part of the answer's body arrived
 	believedCrashed bool               // the server was believed to have crashed when the attempt started
 	sentAt          time.Time
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -53,7 +53,7 @@
 	var servers []directory.Server
 	for _, s := range w.snapshot().Servers() {
 		id := s.Backend().ID()
-		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) {
+		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) || !row.stream.continuesOn(s.Backend()) {
 			continue
 		}
 		if w.saidLeaving(s.Backend()) || !w.hasRoom(now, s.Backend(), row.startedAttempts > 0) {
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -40,6 +40,9 @@
 		row.rejections++
 	case AttemptLost, AttemptInterrupted:
 		row.startedAttempts++
+		if input.status == AttemptInterrupted {
+			row.stream = row.stream.beganOn(row.version)
+		}
 		w.suspectCrash(row)
 		partial := input.status == AttemptInterrupted && !row.request.resumable
 		if partial || !row.request.retryable || row.startedAttempts >= row.request.maxAttempts {
--- a/core/entry/system_limit.go
+++ b/core/entry/system_limit.go
@@ -155,7 +155,8 @@
 func (w *World) atLimits(now time.Time, row *requestRow) bool {
 	reached := false
 	for _, s := range w.snapshot().Servers() {
-		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, s.Backend().ID()) || w.saidLeaving(s.Backend()) {
+		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, s.Backend().ID()) || w.saidLeaving(s.Backend()) ||
+			!row.stream.continuesOn(s.Backend()) {
 			continue
 		}
 		if w.hasRoom(now, s.Backend(), row.startedAttempts > 0) {
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -214,7 +214,7 @@
 	server.dataCentre, server.address = backend.DataCentre(), backend.Address()
 	w.inFlightChanged = true
 	row.backend, row.sentAt, row.abandoned, row.stallTimeout = backend.ID(), now, false, stalledAfter
-	row.incarnation, row.answerBegan = backend.Incarnation(), false
+	row.incarnation, row.version, row.answerBegan = backend.Incarnation(), backend.Version(), false
 	row.believedCrashed = w.snapshot().Quarantine().Crashed(quarantine.NewCrashID(backend.ID(), backend.Incarnation()))
 	row.idle = progress.NewIdleTimer(row.progress)
 	if choice.online+choice.batch >= backend.Slots() {
--- a/core/member/backend.go
+++ b/core/member/backend.go
@@ -34,6 +34,7 @@
 	protocol    Protocol
 	slots       int      // maximum number of concurrent requests
 	services    []string // services that the server can run
+	version     string   // of the server's software, not of the models; empty if unknown
 	models      []string // loaded models as name@version, sorted
 	fencing     bool     // rejects orders with an old fencing number
 	incarnation uint64
@@ -51,6 +52,9 @@
 	return func(b *Backend) { b.services = services }
 }
 
+// WithVersion sets the version of the server's software.
+func WithVersion(version string) BackendOption { return func(b *Backend) { b.version = version } }
+
 // WithModels sets the loaded models as name@version.
 func WithModels(models ...string) BackendOption {
 	return func(b *Backend) { b.models = slices.Sorted(slices.Values(models)) }
@@ -97,6 +101,10 @@
 // Services returns the services that the server can run.
 func (b Backend) Services() []string { return b.services }
 
+// Version returns the version of the server's software, empty if unknown. Servers of different
+// versions do not continue each other's streams.
+func (b Backend) Version() string { return b.version }
+
 // Models returns the loaded models as name@version.
 func (b Backend) Models() []string { return b.models }
 
@@ -128,6 +136,12 @@
 	return b
 }
 
+// WithVersion returns a copy with another software version.
+func (b Backend) WithVersion(version string) Backend {
+	b.version = version
+	return b
+}
+
 // AsLeaving returns a copy that is leaving: the server takes no new work in
 // this incarnation.
 func (b Backend) AsLeaving() Backend {
@@ -159,6 +173,6 @@
 // report.
 func (b Backend) DiffersFrom(other Backend) bool {
 	return b.incarnation != other.incarnation || b.leaving != other.leaving || b.gone != other.gone ||
-		b.slots != other.slots || b.address != other.address ||
+		b.slots != other.slots || b.version != other.version || b.address != other.address ||
 		!slices.Equal(b.services, other.services) || !slices.Equal(b.models, other.models)
 }
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -235,38 +235,70 @@
 	AgeMS    int64    // staleness in milliseconds
 }
 
+// versionedPollResponse is the wire format of a cluster.PollResponse with the software versions
+// of its backend servers, in the same order. Instances of earlier versions understand a
+// pollResponse only.
+type versionedPollResponse struct {
+	_        struct{} `cbor:",toarray"`
+	Response pollResponse
+	Versions []string
+}
+
 // encodePollResponse encodes a poll response.
 func encodePollResponse(r cluster.PollResponse) ([]byte, error) {
 	u := r.Update()
 	wire := pollResponse{Epoch: u.Epoch(), Version: u.Version(), Silent: u.Stale(), Whole: u.Full(), Document: toDocument(r.Document()), Founders: ToMembers(r.InitialMembers()),
 		AgeMS: r.Staleness().Milliseconds()}
+	var versions []string
 	for _, n := range u.Instances() {
 		wire.Nodes = append(wire.Nodes, toNode(n))
 	}
 	for _, b := range u.Backends() {
 		wire.Servers = append(wire.Servers, toBackend(b))
+		versions = append(versions, b.Version())
 	}
-	data, err := cbor.Marshal(wire)
+	var message any = wire
+	if r.HasVersions() {
+		message = versionedPollResponse{Response: wire, Versions: versions}
+	}
+	data, err := cbor.Marshal(message)
 	return data, errors.Wrap(err, "encode poll response")
 }
 
 // decodePollResponse decodes a poll response.
 func decodePollResponse(data []byte) (cluster.PollResponse, error) {
-	var wire pollResponse
-	if err := Decode(data, &wire); err != nil {
+	var message versionedPollResponse
+	var target any = &message.Response
+	hasVersions := len(data) > 0 && data[0] == arrayOf2
+	if hasVersions {
+		target = &message
+	}
+	if err := Decode(data, target); err != nil {
 		return cluster.PollResponse{}, err
 	}
+	wire := message.Response
+	if hasVersions && len(message.Versions) != len(wire.Servers) {
+		return cluster.PollResponse{}, errors.Newf("%d versions of %d servers", len(message.Versions), len(wire.Servers))
+	}
 	var nodes []directory.Instance
 	for _, n := range wire.Nodes {
 		nodes = append(nodes, n.node())
 	}
 	var backends []member.Backend
-	for _, b := range wire.Servers {
-		backends = append(backends, b.backend())
+	for i, b := range wire.Servers {
+		server := b.backend()
+		if hasVersions {
+			server = server.WithVersion(message.Versions[i])
+		}
+		backends = append(backends, server)
 	}
-	return cluster.NewPollResponse(directory.NewUpdate(wire.Epoch, wire.Version, nodes, backends,
+	response := cluster.NewPollResponse(directory.NewUpdate(wire.Epoch, wire.Version, nodes, backends,
 		directory.WithStale(wire.Silent), directory.WithFull(wire.Whole)),
-		wire.Document.document(), Members(wire.Founders), time.Duration(wire.AgeMS)*time.Millisecond), nil
+		wire.Document.document(), Members(wire.Founders), time.Duration(wire.AgeMS)*time.Millisecond)
+	if hasVersions {
+		response = response.WithVersions()
+	}
+	return response, nil
 }
 
 // syncRequest is the wire format of usage.SyncRequest.
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -49,6 +49,8 @@
 		{"document part", checkRoundTrip(codec.DocumentPart, cluster.NewDocumentPart(7, 8, 9, 3, []byte("xyz")))},
 		{"poll response", checkRoundTrip(codec.PollResponse, cluster.NewPollResponse(directory.NewUpdate(1, 2, []directory.Instance{node}, []member.Backend{backend},
 			directory.WithStale([]string{"b"}), directory.WithFull(true)), registry.NewDocument(7, []byte("{}")), members, time.Second))},
+		{"poll response with versions", checkRoundTrip(codec.PollResponse, cluster.NewPollResponse(directory.NewUpdate(1, 2, nil, []member.Backend{backend.WithVersion("v1")}),
+			registry.NewDocument(7, nil), nil, time.Second).WithVersions())},
 		{"sync request", checkRoundTrip(codec.SyncRequest, usage.NewSyncRequest(usage.NewReport(map[string]int{"b": 2}), usage.NewCursor(3, 4)))},
 		{"load update", checkRoundTrip(codec.LoadUpdate, cluster.NewLoadUpdate(3, usage.NewUpdate(usage.NewCursor(3, 4), true, cluster.Loads{"b": usage.NewLoad(2, 1)})))},
 		{"sync request with a limit", checkRoundTrip(codec.SyncRequest, usage.NewSyncRequest(usage.NewReport(map[string]int{"b": 2}).WithLimited(
