A stream that is taken up goes on at the version that began it (ORDER)

Callers: a client whose stream broke off took it up again at another entry instance, or at one that had been restarted, and got the rest from servers of another software version, with nothing in the answer to show it.

Cause: Resumes was not read, and nobody kept which version began which stream. Class: a fact about a stream that only one process's memory held, or none.

Change: while servers of several versions of a service took requests in the last minute, an entry instance sends the version that it chose for a stream to its upstreams, during the server's work on it. A request that takes up a stream which did not begin here asks all control instances. Without a record the version follows from what was in use alone; otherwise the request is rejected as not run. With one version nothing is recorded or asked. A server that was started again since the choice loses the attempt before its first event passes.

Not chosen: durable records (a commit before each first token); records at all entries; a version that follows from the stream's id (shares of versions change).

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -19,22 +19,24 @@
 
 // Kinds of calls.
 const (
-	KindPropose      Kind = iota + 1 // apply an encoded command to the target's ledger
-	KindPoll                         // changes of the directory and the configuration
-	KindUsage                        // online load, to the leader of the jobs ledger
-	KindCollect                      // online load of an entry instance, to a store instance that reports it to the leader
-	KindDocument                     // the newest configuration document (linearizable)
-	KindPage                         // results of a job
-	KindBody                         // the body of an item
-	KindRetire                       // empty an instance
-	KindRetired                      // whether an instance was emptied
-	KindEvidence                     // crashes of backend servers that one of the two instances does not know
-	KindDocumentPart                 // a part of a configuration document
+	KindPropose       Kind = iota + 1 // apply an encoded command to the target's ledger
+	KindPoll                          // changes of the directory and the configuration
+	KindUsage                         // online load, to the leader of the jobs ledger
+	KindCollect                       // online load of an entry instance, to a store instance that reports it to the leader
+	KindDocument                      // the newest configuration document (linearizable)
+	KindPage                          // results of a job
+	KindBody                          // the body of an item
+	KindRetire                        // empty an instance
+	KindRetired                       // whether an instance was emptied
+	KindEvidence                      // crashes of backend servers that one of the two instances does not know
+	KindDocumentPart                  // a part of a configuration document
+	KindStreamRecords                 // which versions begin streams
+	KindStreamQuery                   // which version began a stream
 )
 
 // String returns the kind's name for logs and metrics.
 func (k Kind) String() string {
-	names := [...]string{"unknown", "propose", "follow", "usage", "collect", "document", "page", "body", "retire", "retired", "evidence", "document part"}
+	names := [...]string{"unknown", "propose", "follow", "usage", "collect", "document", "page", "body", "retire", "retired", "evidence", "document part", "stream records", "stream query"}
 	if int(k) >= len(names) {
 		return names[0]
 	}
--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -16,6 +16,7 @@
 	"papayaquay/core/registry"
 	"papayaquay/core/routing"
 	"papayaquay/core/runner"
+	"papayaquay/core/stream"
 	"papayaquay/core/usage"
 
 	qt "github.com/frankban/quicktest"
@@ -56,6 +57,7 @@
 		Registry: storedEncoding[registry.Command](v), RegistryState: storedEncoding[*registry.State](v),
 		Batch: storedEncoding[batch.Command](v), BatchSnapshot: storedEncoding[BatchSnapshot](v),
 		PollRequest: storedEncoding[PollRequest](v), PollResponse: storedEncoding[PollResponse](v),
+		StreamRecords: storedEncoding[[]stream.Record](v), StreamQuery: storedEncoding[stream.Query](v), StreamAnswer: storedEncoding[stream.Answer](v),
 		Document: NewEncoding(encodeTestDocument, decodeTestDocument), DocumentRequest: storedEncoding[DocumentRequest](v), DocumentPart: storedEncoding[DocumentPart](v),
 		SyncRequest: storedEncoding[usage.SyncRequest](v), LoadUpdate: storedEncoding[LoadUpdate](v),
 		EvidenceRequest: storedEncoding[quarantine.SyncRequest](v), EvidenceUpdate: storedEncoding[quarantine.Update](v),
--- a/core/cluster/codec.go
+++ b/core/cluster/codec.go
@@ -8,6 +8,7 @@
 	"papayaquay/core/ledger"
 	"papayaquay/core/quarantine"
 	"papayaquay/core/registry"
+	"papayaquay/core/stream"
 	"papayaquay/core/usage"
 )
 
@@ -174,6 +175,9 @@
 	LoadUpdate      Encoding[LoadUpdate]
 	EvidenceRequest Encoding[quarantine.SyncRequest]
 	EvidenceUpdate  Encoding[quarantine.Update]
+	StreamRecords   Encoding[[]stream.Record]
+	StreamQuery     Encoding[stream.Query]
+	StreamAnswer    Encoding[stream.Answer]
 	Query           Encoding[Query]
 	Page            Encoding[batch.Page]
 }
--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -6,6 +6,7 @@
 	"papayaquay/core/quarantine"
 	"papayaquay/core/registry"
 	"papayaquay/core/runner"
+	"papayaquay/core/stream"
 	"papayaquay/core/usage"
 )
 
@@ -20,6 +21,9 @@
 	attempt        *runner.AttemptReport
 	itemLimit      *backendLimit
 	saidLeaving    *registry.LeavingBackend
+	streamRecord   *pendingRecord
+	streamQuery    *stream.Query
+	streamAnswer   func(stream.Answer)
 	usage          *usage.Report
 	crash          *quarantine.Crash
 	excluded       []quarantine.Part
@@ -66,6 +70,17 @@
 	return Input{saidLeaving: &b}
 }
 
+// RecordStream records which version is about to begin a stream. done is called on the control
+// thread when another instance has the record.
+func RecordStream(r stream.Record, done func()) Input {
+	return Input{streamRecord: &pendingRecord{record: r, done: done}}
+}
+
+// FindStream asks which version began a stream. answer is called on the control thread.
+func FindStream(q stream.Query, answer func(stream.Answer)) Input {
+	return Input{streamQuery: &q, streamAnswer: answer}
+}
+
 // UsageChanged reports the online requests that this entry instance runs.
 func UsageChanged(r usage.Report) Input { return Input{usage: &r} }
 
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -33,6 +33,10 @@
 		w.setItemLimit(now, input.itemLimit.backend, input.itemLimit.limit)
 	case input.saidLeaving != nil:
 		w.directory.MarkLeaving(now, input.saidLeaving.Backend(), input.saidLeaving.Incarnation())
+	case input.streamRecord != nil:
+		w.streams.pending = append(w.streams.pending, *input.streamRecord)
+	case input.streamQuery != nil:
+		w.findStream(now, *input.streamQuery, input.streamAnswer)
 	case input.usage != nil:
 		w.loadReporter.setReport(now, *input.usage)
 	case input.crash != nil && w.quarantine != nil:
--- a/core/cluster/serve.go
+++ b/core/cluster/serve.go
@@ -21,6 +21,10 @@
 		w.serveDocument(requester)
 	case call.KindDocumentPart:
 		w.serveDocumentPart(now, requester, r)
+	case call.KindStreamRecords:
+		w.serveStreamRecords(now, requester, r.Payload())
+	case call.KindStreamQuery:
+		w.serveStreamQuery(now, requester, r.Payload())
 	case call.KindUsage:
 		w.serveUsage(now, requester, r.Payload())
 	case call.KindCollect:
--- a/core/cluster/snapshot.go
+++ b/core/cluster/snapshot.go
@@ -1,9 +1,12 @@
 package cluster
 
 import (
+	"maps"
+
 	"papayaquay/core/directory"
 	"papayaquay/core/quarantine"
 	"papayaquay/core/routing"
+	"papayaquay/core/stream"
 	"papayaquay/core/usage"
 )
 
@@ -17,6 +20,7 @@
 	entries    int // known entry instances
 	ready      bool
 	quarantine *quarantine.View
+	versions   map[string]stream.VersionUse // by service
 }
 
 // NewSnapshot returns a snapshot; config is nil if no configuration has arrived
@@ -53,6 +57,20 @@
 // Ready reports whether the instance can serve callers.
 func (s *Snapshot) Ready() bool { return s.ready }
 
+// Versions returns which software versions of a service's servers take requests.
+func (s *Snapshot) Versions(service string) stream.VersionUse { return s.versions[service] }
+
+// WithVersions returns a copy of the snapshot with another use of versions of a service.
+func (s *Snapshot) WithVersions(service string, use stream.VersionUse) *Snapshot {
+	changed := *s
+	changed.versions = maps.Clone(s.versions)
+	if changed.versions == nil {
+		changed.versions = make(map[string]stream.VersionUse)
+	}
+	changed.versions[service] = use
+	return &changed
+}
+
 // Quarantine returns the parts of prompts whose requests are rejected.
 func (s *Snapshot) Quarantine() *quarantine.View { return s.quarantine }
 
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -55,6 +55,7 @@
 	quarantine   *quarantine.World // nil at store instances
 	evidence     *evidenceExchange
 	documents    *documentFetch
+	streams      *streamKeeper
 	servers      *serverList
 	outbox       *outbox
 
@@ -117,7 +118,7 @@
 		self: self, codec: codec, decode: decode, logger: slog.New(slog.DiscardHandler),
 		persist: func(uint64, []ledger.Record) {}, send: func(Packet) {}, publish: func(*Snapshot) {},
 		ledgers: ledger.New(self.Address()),
-		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), documents: newDocumentFetch(), encoded: newEncodedDocuments(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), responses: newResponseCache(),
+		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), documents: newDocumentFetch(), streams: newStreamKeeper(now), encoded: newEncodedDocuments(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), responses: newResponseCache(),
 		snapshotStale: true, now: now, wallClock: func() time.Time { return now },
 		heapBytes: func() uint64 { return 0 },
 	}
@@ -149,6 +150,7 @@
 	w.directory.Run(now)
 	w.upstreams.run(now, w.controls())
 	w.runDocumentFetch(now)
+	w.runStreams(now)
 	w.runJobs(now)
 	w.runLoadReporter(now)
 	w.runQuarantine(now)
@@ -277,6 +279,7 @@
 		s.quarantine = w.quarantine.View().At(now)
 	}
 	s.entries = len(w.directory.Instances(directory.RoleEntry))
+	s.versions = w.streams.history.InUse(now)
 	s.stores = w.directory.Instances(directory.RoleStore)
 	w.publish(s)
 }
--- a/core/directory/servers.go
+++ b/core/directory/servers.go
@@ -95,6 +95,11 @@
 	return fallback
 }
 
+// EachBackend calls visit for each known backend server, also for those that take no new work.
+func (w *World) EachBackend(visit func(member.Backend)) {
+	w.backends.Each(func(_ string, row *backendRow) { visit(row.backend) })
+}
+
 // Server is a backend server and whether it is stale.
 type Server struct {
 	backend member.Backend
--- a/core/entry/input.go
+++ b/core/entry/input.go
@@ -3,6 +3,7 @@
 import (
 	"papayaquay/core/progress"
 	"papayaquay/core/quarantine"
+	"papayaquay/core/stream"
 )
 
 // Input is one input of a tick.
@@ -20,6 +21,7 @@
 	began    bool
 	check    *quarantine.CrashID
 	crashed  bool
+	origin   *stream.Answer
 }
 
 // Submit starts a request. decide is called on the traffic thread with each
@@ -53,5 +55,10 @@
 	return Input{check: &id, crashed: crashed}
 }
 
+// StreamFound reports which version began the stream that a request takes up.
+func StreamFound(number uint64, answer stream.Answer) Input {
+	return Input{number: number, origin: &answer}
+}
+
 // SnapshotChanged reports that the control world published a new snapshot.
 func SnapshotChanged() Input { return Input{} }
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -25,6 +25,8 @@
 	deadline      time.Time
 	reserveTokens int
 	sharedParts   quarantine.Prompt
+	begunBy       string
+	isTakenUp     bool
 }
 
 // RequestOption sets optional fields of a request.
@@ -39,6 +41,12 @@
 	return func(r *Request) { r.sharedParts = parts }
 }
 
+// WithBegunStream says that the request takes up a stream of which its caller has a part, and
+// the id of the request that began it, empty if the caller did not name it.
+func WithBegunStream(begunBy string) RequestOption {
+	return func(r *Request) { r.begunBy, r.isTakenUp = begunBy, true }
+}
+
 // NewRequest returns a request for a service. id is the caller's id and is only
 // logged. A retryable request may run more than once. A resumable request may
 // continue on another server after a part of its answer was sent. maxAttempts is
@@ -79,6 +87,8 @@
 	number     uint64
 	backend    member.Backend
 	reserve    bool
+	record     bool
+	attempt    int
 	retryAfter time.Duration
 	reason     string
 }
@@ -96,6 +106,13 @@
 // Without a reservation it must not be sent.
 func (d Decision) Reserve() bool { return d.reserve }
 
+// Record reports whether the version of the server must be recorded before its answer reaches
+// the caller.
+func (d Decision) Record() bool { return d.record }
+
+// Attempt returns the number of the attempt within the request, from 1 on.
+func (d Decision) Attempt() int { return d.attempt }
+
 // RetryAfter returns how long the caller should wait before it retries a rejected
 // request, 0 if unknown.
 func (d Decision) RetryAfter() time.Duration { return d.retryAfter }
--- a/core/entry/stream_test.go
+++ b/core/entry/stream_test.go
@@ -9,6 +9,7 @@
 	"papayaquay/core/directory"
 	"papayaquay/core/member"
 	"papayaquay/core/progress"
+	"papayaquay/core/stream"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -61,3 +62,81 @@
 		})
 	}
 }
+
+// TestTakenUpStreamGoesOnAtItsVersion guards against streams that hold events of servers of two
+// software versions, over several requests of their caller.
+func TestTakenUpStreamGoesOnAtItsVersion(t *testing.T) {
+	mixed, only := stream.SeveralVersions(), stream.NewVersionUse(false, "v1")
+	for _, test := range []struct {
+		name    string
+		use     stream.VersionUse
+		begun   string          // version of which this instance sent a part, empty if it did not
+		takesUp bool            // the caller has a part of the stream
+		begunBy string          // request that the caller names
+		answers []stream.Answer // of the search; none if nothing must be asked
+		want    []string        // versions that may get the request; none if it must be rejected
+	}{
+		{"new stream", mixed, "", false, "", nil, []string{"v1", "v2"}},
+		{"one version in use", only, "", true, "first", nil, []string{"v1", "v2"}},
+		{"begun here", mixed, "v1", true, "first", nil, []string{"v1"}},
+		{"begun elsewhere, recorded", mixed, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Recorded, "v2")}, []string{"v2"}},
+		{"begun elsewhere, deduced", mixed, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Deduced, "v1")}, []string{"v1"}},
+		{"unknown", mixed, "", true, "first", []stream.Answer{{}}, nil},
+		{"unknown while one version is known", stream.NewVersionUse(true, "v1"), "", true, "first", []stream.Answer{{}}, []string{"v1"}},
+		{"request not named", mixed, "", true, "", nil, nil},
+		{"version is gone", mixed, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Recorded, "v0")}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := make(map[string]bool)
+			for seed := range uint64(40) {
+				now := time.Unix(1000, 0)
+				servers := directory.New(1)
+				announce := func(i int, version string) {
+					servers.Announce(now, member.NewBackend(fmt.Sprint(i), fmt.Sprintf("a%d:1", i), "z", member.ProtocolEngine, 8, 1, 1,
+						member.WithServices("s"), member.WithVersion(version)))
+				}
+				var asked []uint64
+				w := New("z", func() *cluster.Snapshot {
+					return cluster.NewSnapshot(nil, servers.Servers(now), cluster.Loads{}).WithVersions("s", test.use)
+				}, WithSeed(seed), WithStreamSearch(func(number uint64, q stream.Query) { asked = append(asked, number) }))
+				var last Decision
+				submit := func(id string, options ...RequestOption) {
+					r := NewRequest(id, "s", true, true, 3, now, now.Add(5*time.Second), options...)
+					w.Step(now, []Input{Submit(r, progress.New(), func(d Decision) { last = d }, func() {})})
+				}
+				if test.begun != "" {
+					announce(9, test.begun)
+					submit("first")
+					c.Assert(last.Record(), qt.Equals, test.use.Mixed())
+					w.Step(now, []Input{AnswerBegan(last.Number()), AttemptEnded(last.Number(), AttemptCallerGone, LoadReport{})})
+				}
+				for i, version := range []string{"v1", "v1", "v2", "v2"} {
+					announce(i, version)
+				}
+				last = Decision{}
+				if test.takesUp {
+					submit("second", WithBegunStream(test.begunBy))
+				} else {
+					submit("second")
+				}
+				c.Assert(asked, qt.HasLen, len(test.answers))
+				for i, answer := range test.answers {
+					c.Assert(last.Action(), qt.Equals, Action(0))
+					w.Step(now, []Input{StreamFound(asked[i], answer)})
+				}
+				if last.Action() == ActionSend {
+					got[last.Backend().Version()] = true
+					c.Assert(last.Record(), qt.Equals, test.use.Mixed() && !test.takesUp)
+					continue
+				}
+				c.Assert(last.Action(), qt.Equals, ActionReject)
+				c.Assert(w.Len(), qt.Equals, 0)
+			}
+			c.Assert(got, qt.HasLen, len(test.want), qt.Commentf("%v", got))
+			for _, version := range test.want {
+				c.Check(got[version], qt.IsTrue, qt.Commentf("version %q", version))
+			}
+		})
+	}
+}
--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -83,12 +83,13 @@
 }
 
 // recordBegin records that an answer began. Its parts did not cause the known crashes.
-func (w *World) recordBegin(number uint64) {
+func (w *World) recordBegin(now time.Time, number uint64) {
 	row := w.requests.Get(number)
 	if row == nil {
 		return
 	}
 	row.answerBegan = true
+	w.keepOrigin(now, row)
 	if row.believedCrashed {
 		w.refute(quarantine.NewCrashID(row.backend, row.incarnation))
 	}
--- /dev/null
+++ b/core/entry/system_stream.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"time"
+
+	"papayaquay/core/event"
+	"papayaquay/core/stream"
+)
+
+// unknownOriginRetry is the time after which a stream may be taken up again whose version is
+// not known.
+const unknownOriginRetry = 400 * time.Millisecond
+
+// mustRecord reports whether the version of the current attempt's server must be recorded
+// before its answer reaches the caller: the caller may take the stream up at another
+// instance, which then must not guess.
+func (w *World) mustRecord(row *requestRow) bool {
+	return row.request.resumable && !row.stream.known && w.snapshot().Versions(row.request.service).Mixed()
+}
+
+// keepOrigin keeps which version begins the answer, for callers that take it up again here.
+func (w *World) keepOrigin(now time.Time, row *requestRow) {
+	if !w.mustRecord(row) {
+		return
+	}
+	w.began.Add(now, stream.NewRecord(stream.NewID(row.request.id), len(row.tried)+1, row.version))
+}
+
+// mustFindOrigin reports whether it must be found out which version began the stream that a
+// request takes up.
+func (w *World) mustFindOrigin(row *requestRow) bool {
+	return row.request.isTakenUp && row.request.resumable && w.snapshot().Versions(row.request.service).Mixed()
+}
+
+// findOrigin finds out which version began the stream that a request takes up.
+func (w *World) findOrigin(now time.Time, number uint64, row *requestRow) {
+	if row.request.begunBy == "" {
+		w.originFound(now, number, stream.Answer{})
+		return
+	}
+	id := stream.NewID(row.request.begunBy)
+	if version, ok := w.began.Find(now, id); ok {
+		w.originFound(now, number, stream.NewAnswer(stream.Recorded, version))
+		return
+	}
+	w.findStream(number, stream.NewQuery(id, row.request.service))
+}
+
+// originFound continues with a request that takes up a stream. It is rejected if the version
+// that began the stream is not known: another one would join two texts.
+func (w *World) originFound(now time.Time, number uint64, answer stream.Answer) {
+	row := w.requests.Get(number)
+	if row == nil {
+		return
+	}
+	version, ok := answer.Version(), answer.Certainty() != stream.Unknown
+	if !ok {
+		version, ok = w.snapshot().Versions(row.request.service).Only()
+	}
+	event.StreamTakenUp.Log(w.logger, "request", row.request.id, "begun_by", row.request.begunBy, "version", version,
+		"certainty", answer.Certainty().String(), "known", ok, "ms", now.Sub(row.request.arrived).Milliseconds())
+	if !ok {
+		w.endUnanswered(now, number, row, "version of the stream unknown", unknownOriginRetry)
+		return
+	}
+	row.stream = row.stream.beganOn(version)
+	w.dispatch(now, number, row)
+}
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -9,6 +9,7 @@
 	"papayaquay/core/event"
 	"papayaquay/core/progress"
 	"papayaquay/core/quarantine"
+	"papayaquay/core/stream"
 	"papayaquay/core/table"
 	"papayaquay/core/usage"
 )
@@ -43,11 +44,13 @@
 	checkCrash     func(id quarantine.CrashID, address string, others []string)
 	reportCrash    func(quarantine.Crash)
 	exclude        func([]quarantine.Part)
+	findStream     func(number uint64, q stream.Query)
 	reportLeave    func(backend string, incarnation uint64)
 	refute         func(quarantine.CrashID)
 	dataCentre     string
 
 	requests           *table.Table[uint64, requestRow]
+	began              *stream.Records // streams whose answers began here, while several versions were in use
 	servers            *table.Table[string, serverRow]
 	crashChecks        *table.Table[quarantine.CrashID, crashCheckRow]
 	lastNumber         uint64
@@ -99,6 +102,12 @@
 	}
 }
 
+// WithStreamSearch sets the function that asks the other instances which version began a
+// stream. It must not block; the answer is passed to the world by StreamFound.
+func WithStreamSearch(find func(number uint64, q stream.Query)) Option {
+	return func(w *World) { w.findStream = find }
+}
+
 // WithLeaveReport sets the function that receives a server that said in an answer that it is
 // leaving, with its incarnation.
 func WithLeaveReport(report func(backend string, incarnation uint64)) Option {
@@ -112,7 +121,7 @@
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
-		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, reportLeave: func(string, uint64) {},
+		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, reportLeave: func(string, uint64) {}, findStream: func(uint64, stream.Query) {}, began: stream.NewRecords(),
 		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
@@ -128,10 +137,12 @@
 		switch {
 		case input.request != nil:
 			w.admit(now, input)
+		case input.origin != nil:
+			w.originFound(now, input.number, *input.origin)
 		case input.header:
 			w.recordHeader(now, input.number, input.load)
 		case input.began:
-			w.recordBegin(input.number)
+			w.recordBegin(now, input.number)
 		case input.check != nil:
 			w.endCrashCheck(*input.check, input.crashed)
 		case input.status != 0:
@@ -172,6 +183,10 @@
 		w.nextWatch = due
 	}
 	row := w.requests.Put(w.lastNumber, requestRow{request: *input.request, decide: input.decide, progress: input.progress, abandon: input.abandon})
+	if w.mustFindOrigin(row) {
+		w.findOrigin(now, w.lastNumber, row)
+		return
+	}
 	w.dispatch(now, w.lastNumber, row)
 }
 
@@ -223,10 +238,11 @@
 	reserve := w.shouldReserve(now, row, choice)
 	limit, sent := w.limit(now, backend)
 	sent = sent.Add(server.sent.Sent(now))
-	event.AttemptStarted.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "attempt", len(row.tried)+1,
+	event.AttemptStarted.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "version", backend.Version(), "attempt", len(row.tried)+1,
 		"reserve", reserve, "in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates,
 		"limit", limit.PerSecond(), "sent_4s", sent.Burst(), "sent_12s", sent.Sustained())
-	row.decide(Decision{action: ActionSend, number: number, backend: backend, reserve: reserve})
+	row.decide(Decision{action: ActionSend, number: number, backend: backend, reserve: reserve,
+		record: w.mustRecord(row), attempt: len(row.tried) + 1})
 }
 
 // Times after which a caller may retry a rejected request.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -76,8 +76,10 @@
 	QuarantinedRequestRejected = Event{406, slog.LevelInfo, "a request was rejected because a part of its prompt is quarantined"}
 	AnswerTooLong              = Event{407, slog.LevelWarn, "an answer of a backend server was given up because it was too long"}
 	BackendLimitChanged        = Event{408, slog.LevelInfo, "a backend server named another limit"}
+	StreamTakenUp              = Event{409, slog.LevelInfo, "a caller takes up a stream"}
 	RequestEnded               = Event{410, slog.LevelInfo, "a request ended"}
 	AttemptStarted             = Event{411, slog.LevelInfo, "an attempt of a request started"}
+	StreamNotRecorded          = Event{412, slog.LevelWarn, "an answer began before its software version was recorded"}
 	ItemAttemptEnded           = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
 	ItemPreempted              = Event{421, slog.LevelInfo, "a batch item was preempted by an online request"}
 	JobAbandoned               = Event{422, slog.LevelWarn, "the waiting items of a job were abandoned"}
@@ -107,8 +109,8 @@
 		DiskWriteFailed, LogTruncated, LogCorrupt, ReplicaCreated,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
-		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged,
-		RequestEnded, AttemptStarted, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected,
+		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
+		RequestEnded, AttemptStarted, StreamNotRecorded, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
 	}
--- /dev/null
+++ b/core/stream/stream_test.go
@@ -0,0 +1,126 @@
+package stream
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRecords checks which records are found.
+func TestRecords(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		records []Record
+		age     time.Duration
+		want    string
+		found   bool
+	}{
+		{"none", nil, 0, "", false},
+		{"one attempt", []Record{NewRecord(1, 1, "v1")}, 0, "v1", true},
+		{"second attempt", []Record{NewRecord(1, 1, "v1"), NewRecord(1, 2, "v2")}, 0, "v2", true},
+		{"late record of the first attempt", []Record{NewRecord(1, 2, "v2"), NewRecord(1, 1, "v1")}, 0, "v2", true},
+		{"another stream", []Record{NewRecord(2, 1, "v1")}, 0, "", false},
+		{"old, but kept", []Record{NewRecord(1, 1, "v1")}, Retention, "v1", true},
+		{"too old", []Record{NewRecord(1, 1, "v1")}, Retention + 1, "", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			records := NewRecords()
+			for _, r := range test.records {
+				records.Add(now, r)
+			}
+			version, found := records.Find(now.Add(test.age), 1)
+			c.Check(found, qt.Equals, test.found)
+			c.Check(version, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestRecordsAreBounded checks that old records are removed, and the oldest of too many.
+func TestRecordsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	records := NewRecords()
+	for i := range maxRecords + 10 {
+		records.Add(now, NewRecord(ID(i), 1, "v1"))
+	}
+	c.Check(records.Len() <= maxRecords+1, qt.IsTrue)
+	_, found := records.Find(now, ID(maxRecords+9))
+	c.Check(found, qt.IsTrue)
+	records.Add(now.Add(Retention+1), NewRecord(0, 1, "v1"))
+	c.Check(records.Len(), qt.Equals, 1)
+}
+
+// TestHistory checks what follows from the times in which versions were in use.
+func TestHistory(t *testing.T) {
+	type use struct {
+		version  string
+		from, to time.Duration // since the start of the instance
+	}
+	const now = 100 * time.Second
+	for _, test := range []struct {
+		name       string
+		now        time.Duration
+		uses       []use
+		mixed      bool
+		unrecorded string // empty if uncertain
+	}{
+		{"one version", now, []use{{"v1", 0, now}}, false, "v1"},
+		{"one version, instance started just now", settleTime - 1, []use{{"v1", 0, settleTime}}, true, ""},
+		{"one version, instance started lately", Retention - 1, []use{{"v1", 0, Retention}}, false, ""},
+		{"a second version since a second", now, []use{{"v1", 0, now}, {"v2", now - time.Second, now}}, true, "v1"},
+		{"a second version for longer than streams last", now, []use{{"v1", 0, now}, {"v2", now - Retention, now}}, true, ""},
+		{"both known from the start", now, []use{{"v1", 0, now}, {"v2", 0, now}}, true, ""},
+		{"the first version has left lately", now, []use{{"v1", 0, now - time.Second}, {"v2", now - 10*time.Second, now}}, true, "v1"},
+		{"the first version has left before any stream that lasts", now, []use{{"v1", 0, now - Retention - time.Second}, {"v2", now - 50*time.Second, now}}, true, "v2"},
+		{"the first version is forgotten", 3 * now, []use{{"v1", 0, now}, {"v2", now, 3 * now}}, false, "v2"},
+		{"three versions", now, []use{{"v1", 0, now}, {"v2", now - 10*time.Second, now}, {"v3", now - time.Second, now}}, true, "v1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			start := time.Unix(1000, 0)
+			h := NewHistory(start)
+			for at := time.Duration(0); at <= test.now; at += 100 * time.Millisecond {
+				for _, u := range test.uses {
+					if at >= u.from && at <= u.to {
+						h.Observe(start.Add(at), "s", u.version, true)
+					}
+				}
+				h.Run(start.Add(at))
+			}
+			c.Check(h.InUse(start.Add(test.now))["s"].Mixed(), qt.Equals, test.mixed)
+			version, ok := h.Unrecorded(start.Add(test.now), "s")
+			c.Check(ok, qt.Equals, test.unrecorded != "")
+			if ok {
+				c.Check(version, qt.Equals, test.unrecorded)
+			}
+		})
+	}
+}
+
+// TestConclude checks which version follows from the answers of several instances.
+func TestConclude(t *testing.T) {
+	unknown, recorded, deduced := Answer{}, NewAnswer(Recorded, "v1"), NewAnswer(Deduced, "v2")
+	for _, test := range []struct {
+		name      string
+		answers   []Answer
+		instances int
+		want      Answer
+	}{
+		{"no answers", nil, 3, unknown},
+		{"one record", []Answer{recorded}, 5, recorded},
+		{"a record beside deductions", []Answer{deduced, deduced, recorded}, 3, recorded},
+		{"all deduce the same", []Answer{deduced, deduced, deduced}, 3, deduced},
+		{"one has not answered", []Answer{deduced, deduced}, 3, deduced},
+		{"two have not answered", []Answer{deduced}, 3, unknown},
+		{"one does not know", []Answer{deduced, unknown, deduced}, 3, deduced},
+		{"deductions differ", []Answer{deduced, NewAnswer(Deduced, "v3")}, 2, unknown},
+		{"the only instance deduces", []Answer{deduced}, 1, deduced},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, Conclude(test.answers, test.instances) == test.want, qt.IsTrue)
+		})
+	}
+}
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -19,6 +19,7 @@
 	"papayaquay/core/event"
 	"papayaquay/core/quarantine"
 	"papayaquay/core/routing"
+	"papayaquay/core/stream"
 	"papayaquay/core/tick"
 	"papayaquay/io/boottime"
 	"papayaquay/io/disk"
@@ -158,6 +159,9 @@
 	p.trafficWorld = entry.New(p.settings.DataCentre(), p.snapshot.Load,
 		entry.WithLogger(p.logger), entry.WithSeed(uint64(p.startedAt.UnixNano())),
 		entry.WithReport(func(r usageReport) { p.inbox.Post(cluster.UsageChanged(r)) }),
+		entry.WithStreamSearch(func(number uint64, q stream.Query) {
+			p.inbox.Post(cluster.FindStream(q, func(a stream.Answer) { p.traffic.Post(entry.StreamFound(number, a)) }))
+		}),
 		entry.WithLeaveReport(func(backend string, incarnation uint64) {
 			p.inbox.Post(cluster.ServerSaidLeaving(backend, incarnation))
 		}),
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -194,6 +194,41 @@
 	c.Assert(second.requests[0].Header.Get("Resume"), qt.Equals, "2")
 }
 
+// TestHeldAnswer checks that the first part of each attempt's resumable answer waits until it
+// may go to the caller, and that an answer that may not is lost as if nothing had arrived.
+func TestHeldAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		resumable bool
+		mayBegin  bool
+		calls     int
+		status    entry.AttemptStatus
+		body      string
+	}{
+		{"allowed", true, true, 1, entry.AttemptAnswered, events(1, 2)},
+		{"not allowed", true, false, 1, entry.AttemptLost, ""},
+		{"not resumable", false, false, 0, entry.AttemptAnswered, events(1, 2)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newTestServer(t, false, okHeader+chunk(events(1, 1))+chunk(events(2, 2))+"0\r\n\r\n")
+			recorder := httptest.NewRecorder()
+			relay := New(testCodec()).NewRelay(newRequest("POST"), recorder, test.resumable, progress.New())
+			calls := 0
+			relay.Hold(func(context.Context) bool {
+				calls++
+				c.Check(recorder.Body.Len(), qt.Equals, 0)
+				return test.mayBegin
+			})
+			status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {}, func() {})
+			c.Check(status, qt.Equals, test.status)
+			c.Check(recorder.Body.String(), qt.Equals, test.body)
+			c.Check(calls, qt.Equals, test.calls)
+			c.Check(relay.ResponseStarted(), qt.Equals, test.body != "")
+		})
+	}
+}
+
 // TestTransportDoesNotResend checks that the transport does not send a request of
 // any method again when a reused connection ends before the response.
 func TestTransportDoesNotResend(t *testing.T) {
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -49,6 +49,8 @@
 	responseStarted bool // the header has been sent to the caller
 	mayHaveRun      bool // a server may have run the request
 	progress        *progress.Counter
+	mayBegin        func(ctx context.Context) bool // of the current attempt; see Hold
+	held            bool                           // mayBegin was not called yet
 }
 
 // NewRelay returns a relay that writes the response to out and increments counter
@@ -64,6 +66,19 @@
 // MayHaveRun reports whether a server may have run the request.
 func (r *Relay) MayHaveRun() bool { return r.mayHaveRun }
 
+// Hold sets a function that is called once in the next attempt, before the first bytes of a
+// resumable answer go to the caller. It may block; if it returns false, the attempt is lost.
+func (r *Relay) Hold(mayBegin func(ctx context.Context) bool) { r.mayBegin, r.held = mayBegin, true }
+
+// release reports whether bytes of the current attempt may go to the caller.
+func (r *Relay) release(ctx context.Context) bool {
+	if !r.held {
+		return true
+	}
+	r.held = false
+	return r.mayBegin(ctx)
+}
+
 // Try sends the request to one server, with a reserved slot if there is one, and
 // copies its response. It calls onHeader when the header of a valid response has
 // arrived, and onBegin when the first bytes of its body have. It returns the status of
@@ -157,6 +172,9 @@
 			resumes = resumes && len(chunk) == 0
 			r.events.each(chunk, func(uint64, []byte) {})
 		}
+		if resumable && len(chunk) > 0 && !r.release(ctx) {
+			return r.brokenStatus(ctx)
+		}
 		if len(chunk) > 0 && !r.write(resp, chunk) {
 			return entry.AttemptCallerGone
 		}
--- a/io/record/cluster.go
+++ b/io/record/cluster.go
@@ -30,6 +30,9 @@
 		LoadUpdate:      cluster.NewEncoding(encodeLoadUpdate, decodeLoadUpdate),
 		EvidenceRequest: cluster.NewEncoding(encodeEvidenceRequest, decodeEvidenceRequest),
 		EvidenceUpdate:  cluster.NewEncoding(encodeEvidenceUpdate, decodeEvidenceUpdate),
+		StreamRecords:   cluster.NewEncoding(encodeStreamRecords, decodeStreamRecords),
+		StreamQuery:     cluster.NewEncoding(encodeStreamQuery, decodeStreamQuery),
+		StreamAnswer:    cluster.NewEncoding(encodeStreamAnswer, decodeStreamAnswer),
 		Query:           cluster.NewEncoding(encodeQuery, decodeQuery),
 		Page:            cluster.NewEncoding(encodePage, decodePage),
 	}
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -13,6 +13,7 @@
 	"papayaquay/core/member"
 	"papayaquay/core/quarantine"
 	"papayaquay/core/registry"
+	"papayaquay/core/stream"
 	"papayaquay/core/usage"
 
 	qt "github.com/frankban/quicktest"
@@ -59,6 +60,9 @@
 			cluster.Loads{"b": usage.NewLoad(2, 1).WithLimit(usage.NewLimit(2.6, 7), usage.NewSent(5, 9))})))},
 		{"evidence request", checkRoundTrip(codec.EvidenceRequest, quarantine.NewSyncRequest(quarantine.NewCursor(3, 4), []quarantine.Crash{crashed}))},
 		{"evidence update", checkRoundTrip(codec.EvidenceUpdate, quarantine.NewUpdate(quarantine.NewCursor(3, 4), []quarantine.Crash{crashed}))},
+		{"stream records", checkRoundTrip(codec.StreamRecords, []stream.Record{stream.NewRecord(7, 2, "v1"), stream.NewRecord(8, 1, "")})},
+		{"stream query", checkRoundTrip(codec.StreamQuery, stream.NewQuery(7, "s"))},
+		{"stream answer", checkRoundTrip(codec.StreamAnswer, stream.NewAnswer(stream.Recorded, "v1"))},
 		{"query", checkRoundTrip(codec.Query, cluster.NewQuery("j", 4, "i"))},
 		{"page", checkRoundTrip(codec.Page, batch.NewPage(3, 2, []batch.PageResult{batch.NewPageResult("i", batch.ItemDeadLettered, []byte("x"))}))},
 	} {
