--- a/core/batch/command.go
+++ b/core/batch/command.go
@@ -31,6 +31,8 @@
 	result     Result
 	afterEvent uint64
 	lastEvent  uint64
+	version    string // software version of the servers that wrote a partial output
+	replaces   bool   // the stored output is discarded
 }
 
 // NewFinalItemOutput returns the result of an item. Its text continues the stored
@@ -45,6 +47,25 @@
 	return ItemOutput{job: job, result: Result{item: item, text: text}, afterEvent: afterEvent, lastEvent: lastEvent}
 }
 
+// WithVersion returns a copy with the software version of the servers that wrote the output.
+// Servers of another version cannot continue it.
+func (o ItemOutput) WithVersion(version string) ItemOutput {
+	o.version = version
+	return o
+}
+
+// AsReplacement returns a copy that begins the output anew: the stored output is discarded.
+func (o ItemOutput) AsReplacement() ItemOutput {
+	o.replaces = true
+	return o
+}
+
+// Version returns the software version of the servers that wrote a partial output.
+func (o ItemOutput) Version() string { return o.version }
+
+// Replaces reports whether the stored output is discarded.
+func (o ItemOutput) Replaces() bool { return o.replaces }
+
 // Job returns the job's id.
 func (o ItemOutput) Job() string { return o.job }
 
--- a/core/batch/state.go
+++ b/core/batch/state.go
@@ -21,13 +21,17 @@
 type PartialOutput struct {
 	text      []byte
 	lastEvent uint64
+	version   string
 }
 
 // RestorePartialOutput returns a partial output from a snapshot.
-func RestorePartialOutput(text []byte, lastEvent uint64) PartialOutput {
-	return PartialOutput{text: text, lastEvent: lastEvent}
+func RestorePartialOutput(text []byte, lastEvent uint64, version string) PartialOutput {
+	return PartialOutput{text: text, lastEvent: lastEvent, version: version}
 }
 
+// Version returns the software version of the servers that wrote the output.
+func (p PartialOutput) Version() string { return p.version }
+
 // Text returns the output.
 func (p PartialOutput) Text() []byte { return p.text }
 
@@ -219,7 +223,7 @@
 
 // storeOutput stores the first result of an item, or partial output. Output that does
 // not continue the stored output is ignored, since it comes from a leader that was
-// replaced. The result of a dead-lettered item has no output and is always stored.
+// replaced. Output that begins anew discards the stored output. The result of a dead-lettered item has no output and is always stored.
 func (s *State) storeOutput(output ItemOutput) {
 	row := s.jobs.Get(output.job)
 	item := output.result.item
@@ -227,6 +231,9 @@
 		return
 	}
 	stored := row.partialOutputs[item]
+	if output.replaces {
+		stored = PartialOutput{}
+	}
 	if output.afterEvent != stored.lastEvent && output.result.status != ItemDeadLettered {
 		return
 	}
@@ -234,7 +241,7 @@
 		if row.partialOutputs == nil {
 			row.partialOutputs = make(map[int]PartialOutput)
 		}
-		row.partialOutputs[item] = PartialOutput{text: stored.join(output.result.text), lastEvent: output.lastEvent}
+		row.partialOutputs[item] = PartialOutput{text: stored.join(output.result.text), lastEvent: output.lastEvent, version: output.version}
 		return
 	}
 	if !row.cancelled {
--- a/core/batch/state_test.go
+++ b/core/batch/state_test.go
@@ -69,6 +69,10 @@
 		{"all in parts", []ItemOutput{NewPartialItemOutput("a", 0, []byte("x"), 0, 3), NewFinalItemOutput("a", NewResult(0, ItemDone, nil), 3)}, "x"},
 		{"partial output stored twice", []ItemOutput{NewPartialItemOutput("a", 0, []byte("x"), 0, 3), NewPartialItemOutput("a", 0, []byte("x"), 0, 3),
 			NewFinalItemOutput("a", NewResult(0, ItemDone, []byte("z")), 3)}, "x\nz"},
+		{"begun anew", []ItemOutput{NewPartialItemOutput("a", 0, []byte("x"), 0, 3), NewPartialItemOutput("a", 0, []byte("y"), 0, 2).AsReplacement(),
+			NewFinalItemOutput("a", NewResult(0, ItemDone, []byte("z")), 2)}, "y\nz"},
+		{"begun anew and whole", []ItemOutput{NewPartialItemOutput("a", 0, []byte("x"), 0, 3),
+			NewFinalItemOutput("a", NewResult(0, ItemDone, []byte("z")), 0).AsReplacement()}, "z"},
 		{"gap", []ItemOutput{NewPartialItemOutput("a", 0, []byte("x"), 0, 3), NewFinalItemOutput("a", NewResult(0, ItemDone, []byte("z")), 4)}, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/entry/stream_test.go
+++ b/core/entry/stream_test.go
@@ -99,7 +99,7 @@
 				var asked []uint64
 				w := New("z", func() *cluster.Snapshot {
 					return cluster.NewSnapshot(nil, servers.Servers(now), cluster.Loads{}).WithVersions("s", test.use)
-				}, WithSeed(seed), WithStreamSearch(func(number uint64, q stream.Query) { asked = append(asked, number) }))
+				}, WithSeed(seed), WithStreamSearch(func(number uint64, _ stream.Query) { asked = append(asked, number) }))
 				var last Decision
 				submit := func(id string, options ...RequestOption) {
 					r := NewRequest(id, "s", true, true, 3, now, now.Add(5*time.Second), options...)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -89,6 +89,7 @@
 	ItemStalled                = Event{426, slog.LevelWarn, "an attempt of a batch item was stopped because it made no progress"}
 	ItemAttemptStarted         = Event{427, slog.LevelInfo, "an attempt of a batch item started"}
 	JobRejected                = Event{428, slog.LevelWarn, "a job was rejected because there is no room for it"}
+	ItemRestarted              = Event{429, slog.LevelInfo, "a batch item starts again from the beginning"}
 	ConfigApplied              = Event{500, slog.LevelDebug, "a configuration revision was applied"}
 )
 
@@ -110,7 +111,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
-		RequestEnded, AttemptStarted, StreamNotRecorded, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected,
+		RequestEnded, AttemptStarted, StreamNotRecorded, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
 	}
--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -111,6 +111,8 @@
 	text        []byte
 	lastEvent   uint64
 	storedEvent uint64
+	version     string // software version of the servers that wrote the output
+	replaces    bool   // the ledger holds output that must be discarded
 	failures    int
 	retryAt     time.Time // earliest start of the next attempt after a failure
 }
@@ -119,7 +121,8 @@
 type runningRow struct {
 	key             itemKey
 	backend         string
-	tokens          int // size of the item
+	version         string // of the backend server's software
+	tokens          int    // size of the item
 	started         time.Time
 	stopping        bool
 	stalled         bool // stopped because no bytes arrived
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -7,6 +7,7 @@
 	"papayaquay/core/batch"
 	"papayaquay/core/directory"
 	"papayaquay/core/event"
+	"papayaquay/core/member"
 	"papayaquay/core/progress"
 )
 
@@ -206,7 +207,10 @@
 		return false
 	}
 	row.routeMissingSince = time.Time{}
-	server, ok := w.pickServer(now, route.Pick(w.random()), free)
+	key := itemKey{spec.ID(), i}
+	service := route.Pick(w.random())
+	w.restartWithoutVersion(key, service)
+	server, ok := w.pickServer(now, service, w.progress.Get(key), free)
 	if !ok {
 		return false
 	}
@@ -215,14 +219,13 @@
 	if free[backend.ID()]--; free[backend.ID()] <= 0 {
 		delete(free, backend.ID())
 	}
-	key := itemKey{spec.ID(), i}
 	lastEvent := w.lastEvent(key)
 	w.lastAttempt++
 	counter := progress.New()
-	w.running.Put(w.lastAttempt, runningRow{key: key, backend: backend.ID(), tokens: item.Tokens(), started: now, afterEvent: lastEvent, leadershipEpoch: w.leadershipEpoch,
+	w.running.Put(w.lastAttempt, runningRow{key: key, backend: backend.ID(), version: backend.Version(), tokens: item.Tokens(), started: now, afterEvent: lastEvent, leadershipEpoch: w.leadershipEpoch,
 		idleTimer: progress.NewIdleTimer(counter)})
 	w.runningItems[backend.ID()]++
-	event.ItemAttemptStarted.Log(w.logger, "job", spec.ID(), "item", i, "backend", backend.ID(), "tokens", item.Tokens(), "after_event", lastEvent,
+	event.ItemAttemptStarted.Log(w.logger, "job", spec.ID(), "item", i, "backend", backend.ID(), "version", backend.Version(), "tokens", item.Tokens(), "after_event", lastEvent,
 		"due_ms", row.due.Sub(now).Milliseconds(), "late", w.estimate.isLate(now, row.due, lastEvent))
 	w.startAttempt(Attempt{number: w.lastAttempt, job: spec.ID(), host: spec.Host(), item: item, backend: backend, lastEvent: lastEvent, counter: counter})
 	return true
@@ -239,15 +242,46 @@
 	}
 }
 
+// continuesOn reports whether a server may continue the output of an item.
+func (p *progressRow) continuesOn(b member.Backend) bool {
+	return p == nil || p.lastEvent == 0 || p.version == b.Version()
+}
+
+// restartWithoutVersion discards the output of an item if no server of the version that began
+// it is left: servers of another version cannot continue it. Nothing is discarded while no
+// other server could run the item either.
+func (w *World) restartWithoutVersion(key itemKey, service string) {
+	p := w.progress.Get(key)
+	if p == nil || p.lastEvent == 0 {
+		return
+	}
+	others := false
+	for _, s := range w.servers {
+		if !s.Backend().Runs(service) || s.Stale() {
+			continue
+		}
+		if p.continuesOn(s.Backend()) {
+			return
+		}
+		others = true
+	}
+	if !others {
+		return
+	}
+	event.ItemRestarted.Log(w.logger, "job", key.job, "item", key.item, "version", p.version, "last_event", p.lastEvent)
+	*p = progressRow{failures: p.failures, retryAt: p.retryAt, replaces: p.replaces || p.storedEvent > 0}
+}
+
 // pickServer returns the server with the most free slots among those that run the
 // service. Servers whose limits leave room come first: online requests, which are shorter
-// and more, need the slots of the others.
-func (w *World) pickServer(now time.Time, service string, free map[string]int) (directory.Server, bool) {
+// and more, need the slots of the others. progress is that of the item, nil if it has none: only
+// servers of the version that began its output can continue it.
+func (w *World) pickServer(now time.Time, service string, progress *progressRow, free map[string]int) (directory.Server, bool) {
 	var best directory.Server
 	most, bestLimited := 0, false
 	for _, s := range w.servers {
 		n := free[s.Backend().ID()]
-		if n == 0 || !s.Backend().Runs(service) {
+		if n == 0 || !s.Backend().Runs(service) || !progress.continuesOn(s.Backend()) {
 			continue
 		}
 		_, limited := w.limitRoom(now, s.Backend())
--- a/core/runner/system_receive.go
+++ b/core/runner/system_receive.go
@@ -16,7 +16,7 @@
 	key, backend := row.key, row.backend
 	if report.status == AttemptPartial {
 		if row.leadershipEpoch == w.leadershipEpoch && w.jobs.Get(key.job) != nil {
-			w.appendOutput(key, report)
+			w.appendOutput(key, row.version, report)
 		}
 		return
 	}
@@ -35,7 +35,7 @@
 	w.updateBackoff(now, backend, report.status)
 	w.estimate.record(now.Sub(row.started), report.lastEvent-min(row.afterEvent, report.lastEvent), report.lastEvent, report.status == AttemptDone)
 	if job := w.jobs.Get(key.job); sameEpoch && job != nil {
-		w.applyReport(now, key, job, report)
+		w.applyReport(now, key, row.version, job, report)
 	}
 }
 
@@ -68,49 +68,62 @@
 	return w.progress.Put(key, progressRow{})
 }
 
-// appendOutput adds new output of an item. It stores the output once at least
-// minStoreEvents events are not stored yet.
-func (w *World) appendOutput(key itemKey, report AttemptReport) *progressRow {
+// appendOutput adds new output of an item, which a server of a software version wrote. It
+// stores the output once at least minStoreEvents events are not stored yet.
+func (w *World) appendOutput(key itemKey, version string, report AttemptReport) *progressRow {
 	p := w.progressOf(key)
 	if report.lastEvent > p.lastEvent {
+		if p.lastEvent == 0 {
+			p.version = version
+		}
 		if p.lastEvent > p.storedEvent {
 			p.text = append(p.text, '\n')
 		}
 		p.text, p.lastEvent = append(p.text, report.text...), report.lastEvent
 	}
 	if p.lastEvent >= p.storedEvent+minStoreEvents && report.status != AttemptDone {
-		w.outputs = append(w.outputs, batch.NewPartialItemOutput(key.job, key.item, p.text, p.storedEvent, p.lastEvent))
-		p.text, p.storedEvent = nil, p.lastEvent
+		w.outputs = append(w.outputs, p.mark(batch.NewPartialItemOutput(key.job, key.item, p.text, p.storedEvent, p.lastEvent)))
+		p.text, p.storedEvent, p.replaces = nil, p.lastEvent, false
 	}
 	return p
 }
 
 // applyReport stores the result of an item whose attempt ended, or queues the item to
 // start again.
-func (w *World) applyReport(now time.Time, key itemKey, job *jobRow, report AttemptReport) {
-	p := w.appendOutput(key, report)
+func (w *World) applyReport(now time.Time, key itemKey, version string, job *jobRow, report AttemptReport) {
+	p := w.appendOutput(key, version, report)
 	switch report.status {
 	case AttemptDone:
-		w.storeResult(key, batch.NewResult(key.item, batch.ItemDone, p.text), p.storedEvent)
+		w.storeResult(key, p, batch.NewResult(key.item, batch.ItemDone, p.text))
 		return
 	case AttemptRejected:
-		w.storeResult(key, batch.NewResult(key.item, batch.ItemDeadLettered, nil), p.storedEvent)
+		w.storeResult(key, p, batch.NewResult(key.item, batch.ItemDeadLettered, nil))
 		return
 	case AttemptFailed:
 		p.failures++
 		p.retryAt = now.Add(itemRetryDelay)
 		if p.failures >= job.maxAttempts {
-			w.storeResult(key, batch.NewResult(key.item, batch.ItemDeadLettered, nil), p.storedEvent)
+			w.storeResult(key, p, batch.NewResult(key.item, batch.ItemDeadLettered, nil))
 			return
 		}
 	}
 	job.restartItems = append(job.restartItems, key.item)
 }
 
+// mark returns an output of the item with the version of its servers, and whether it replaces
+// the output in the ledger.
+func (p *progressRow) mark(output batch.ItemOutput) batch.ItemOutput {
+	output = output.WithVersion(p.version)
+	if p.replaces {
+		output = output.AsReplacement()
+	}
+	return output
+}
+
 // storeResult adds the result of an item to the outputs to store.
-func (w *World) storeResult(key itemKey, result batch.Result, afterEvent uint64) {
+func (w *World) storeResult(key itemKey, p *progressRow, result batch.Result) {
 	w.progress.Remove(key)
-	w.outputs = append(w.outputs, batch.NewFinalItemOutput(key.job, result, afterEvent))
+	w.outputs = append(w.outputs, p.mark(batch.NewFinalItemOutput(key.job, result, p.storedEvent)))
 }
 
 // ResultApplied processes the state of a job after the ledger applied an output. A job
@@ -125,8 +138,9 @@
 	if job == nil || output.Result().Status() == 0 || !j.IsWaiting(item) {
 		return
 	}
-	stored := j.PartialOutput(item).LastEvent()
+	partial := j.PartialOutput(item)
+	stored := partial.LastEvent()
 	event.ResultMismatch.Log(w.logger, "job", output.Job(), "item", item, "from", output.AfterEvent(), "stored", stored)
-	w.progress.Put(itemKey{output.Job(), item}, progressRow{lastEvent: stored, storedEvent: stored})
+	w.progress.Put(itemKey{output.Job(), item}, progressRow{lastEvent: stored, storedEvent: stored, version: partial.Version()})
 	job.restartItems = append(job.restartItems, item)
 }
--- /dev/null
+++ b/core/runner/version_test.go
@@ -0,0 +1,89 @@
+package runner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"papayaquay/core/batch"
+	"papayaquay/core/directory"
+	"papayaquay/core/member"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// setVersions replaces the servers by one for each version. Stale ones end with a star.
+func (r *testRunner) setVersions(versions ...string) {
+	d := directory.New(1, directory.WithAnnouncements())
+	for _, version := range versions {
+		at, name := r.now, version
+		if version[len(version)-1] == '*' {
+			at, name = r.now.Add(-time.Minute/2), version[:len(version)-1]
+		}
+		d.Announce(at, member.NewBackend("b-"+name, "b-"+name+":1", "z", member.ProtocolEngine, 4, 1, 1,
+			member.WithServices("s"), member.WithVersion(name)))
+	}
+	r.world.Update(r.world.config, d.Servers(r.now), true)
+}
+
+// TestItemGoesOnAtItsVersion guards against the output of an item that servers of two software
+// versions wrote.
+func TestItemGoesOnAtItsVersion(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		output    string // of the first attempt, which a server of version v1 made
+		lastEvent uint64
+		newLeader bool
+		servers   []string // afterwards
+		version   string   // of the second attempt, empty if there is none yet
+		after     uint64   // event after which it resumes
+		want      string   // output of the item
+	}{
+		{"a server of the version is left", "old", 30, false, []string{"v2", "v1"}, "v1", 30, "old\nnew"},
+		{"none is left", "old", 30, false, []string{"v2"}, "v2", 0, "new"},
+		{"none is left, output not stored", "old", 3, false, []string{"v2"}, "v2", 0, "new"},
+		{"none is left, new leader", "old", 30, true, []string{"v2"}, "v2", 0, "new"},
+		{"one is left, new leader", "old", 30, true, []string{"v2", "v1"}, "v1", 30, "old\nnew"},
+		{"the one that is left is overdue", "old", 30, false, []string{"v2", "v1*"}, "v2", 0, "new"},
+		{"all servers are overdue", "old", 30, false, []string{"v2*", "v1*"}, "", 0, ""},
+		{"no output yet", "", 0, false, []string{"v2"}, "v2", 0, "new"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRunner(t, 1, 0)
+			r.setVersions("v1")
+			r.tick(0)
+			r.c.Assert(r.started, qt.HasLen, 1)
+			r.report(r.started[0], AttemptInterrupted, test.output, test.lastEvent)
+			r.store()
+			if test.newLeader {
+				r.world.SetLeading(r.now, false, r.state)
+				r.world.SetLeading(r.now, true, r.state)
+			}
+			r.setVersions(test.servers...)
+			r.tick(time.Second)
+			if test.version == "" {
+				r.c.Assert(r.started, qt.HasLen, 1)
+				return
+			}
+			r.c.Assert(r.started, qt.HasLen, 2)
+			r.c.Check(r.started[1].Backend().Version(), qt.Equals, test.version)
+			r.c.Check(r.started[1].LastEvent(), qt.Equals, test.after)
+			r.report(r.started[1], AttemptDone, "new", test.after+1)
+			r.store()
+			j, _ := r.state.Job("job")
+			r.c.Assert(j.Results(), qt.HasLen, 1)
+			r.c.Check(string(j.Results()[0].Text()), qt.Equals, test.want)
+		})
+	}
+}
+
+// store applies the outputs of the runner to the state of the ledger.
+func (r *testRunner) store() {
+	outputs := r.world.TakeOutputs()
+	r.state.Apply(batch.Store(outputs))
+	for _, output := range outputs {
+		j, ok := r.state.Job(output.Job())
+		r.c.Assert(ok, qt.IsTrue, qt.Commentf(fmt.Sprint(output)))
+		r.world.ResultApplied(j, output)
+	}
+}
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -163,7 +163,7 @@
 	w.jobOrder = append(w.jobOrder, spec.ID())
 	w.changed = true
 	for item, p := range j.PartialOutputs() {
-		w.progress.Put(itemKey{spec.ID(), item}, progressRow{lastEvent: p.LastEvent(), storedEvent: p.LastEvent()})
+		w.progress.Put(itemKey{spec.ID(), item}, progressRow{lastEvent: p.LastEvent(), storedEvent: p.LastEvent(), version: p.Version()})
 	}
 }
 
--- a/io/record/batch.go
+++ b/io/record/batch.go
@@ -101,11 +101,42 @@
 
 // batchCommand is the wire format of batch.Command.
 type batchCommand struct {
-	Kind    uint8         `cbor:"1,keyasint"`
-	Subject string        `cbor:"2,keyasint,omitempty"` // id of a job or address of an instance
-	Spec    *batchJobSpec `cbor:"3,keyasint,omitempty"`
-	Outputs []batchResult `cbor:"4,keyasint,omitempty"`
-	Before  int64         `cbor:"5,keyasint,omitempty"` // Unix milliseconds
+	Kind    uint8          `cbor:"1,keyasint"`
+	Subject string         `cbor:"2,keyasint,omitempty"` // id of a job or address of an instance
+	Spec    *batchJobSpec  `cbor:"3,keyasint,omitempty"`
+	Outputs []batchResult  `cbor:"4,keyasint,omitempty"`
+	Before  int64          `cbor:"5,keyasint,omitempty"` // Unix milliseconds
+	Origins []outputOrigin `cbor:"6,keyasint,omitempty"` // of the outputs, in the same order; none if all are empty
+}
+
+// outputOrigin is the wire format of what batch.ItemOutput says of the origin of its text.
+type outputOrigin struct {
+	_        struct{} `cbor:",toarray"`
+	Version  string
+	Replaces bool
+}
+
+// toOutputOrigins returns the wire format of the origins of outputs, or nil if all are empty.
+func toOutputOrigins(outputs []batch.ItemOutput) []outputOrigin {
+	origins := make([]outputOrigin, len(outputs))
+	empty := true
+	for i, o := range outputs {
+		origins[i] = outputOrigin{Version: o.Version(), Replaces: o.Replaces()}
+		empty = empty && origins[i] == outputOrigin{}
+	}
+	if empty {
+		return nil
+	}
+	return origins
+}
+
+// apply returns an output with its origin.
+func (o outputOrigin) apply(output batch.ItemOutput) batch.ItemOutput {
+	output = output.WithVersion(o.Version)
+	if o.Replaces {
+		output = output.AsReplacement()
+	}
+	return output
 }
 
 // encodeBatchCommand encodes a command of the jobs ledger.
@@ -119,6 +150,7 @@
 		wire.Outputs = append(wire.Outputs, batchResult{Job: o.Job(), Item: o.Result().Item(),
 			Verdict: uint8(o.Result().Status()), Text: o.Result().Text(), From: o.AfterEvent(), Last: o.LastEvent()})
 	}
+	wire.Origins = toOutputOrigins(c.Outputs())
 	data, err := cbor.Marshal(wire)
 	return data, errors.Wrap(err, "encode batch command")
 }
@@ -137,8 +169,12 @@
 		return batch.Submit(wire.Spec.spec()), nil
 	case batch.CommandStore:
 		var outputs []batch.ItemOutput
-		for _, o := range wire.Outputs {
-			outputs = append(outputs, o.output())
+		for i, o := range wire.Outputs {
+			output := o.output()
+			if i < len(wire.Origins) {
+				output = wire.Origins[i].apply(output)
+			}
+			outputs = append(outputs, output)
 		}
 		return batch.Store(outputs), nil
 	case batch.CommandCancel:
@@ -157,7 +193,38 @@
 	Order   batchJobSpec
 	Ended   bool // the job is cancelled
 	Results []batchResult
-	Parts   []batchResult // partial outputs
+	Parts   []partialOutput
+}
+
+// partialOutput is the wire format of a batch.PartialOutput with its item: a batchResult, or,
+// if the version of its servers is known, a versionedPartialOutput.
+type partialOutput = cbor.RawMessage
+
+// versionedPartialOutput is the wire format of a batch.PartialOutput with a software version.
+type versionedPartialOutput struct {
+	_       struct{} `cbor:",toarray"`
+	Output  batchResult
+	Version string
+}
+
+// toPartialOutput returns the wire format of a partial output of an item.
+func toPartialOutput(item int, p batch.PartialOutput) (partialOutput, error) {
+	output := batchResult{Item: item, Text: p.Text(), Last: p.LastEvent()}
+	if p.Version() == "" {
+		return cbor.Marshal(output)
+	}
+	return cbor.Marshal(versionedPartialOutput{Output: output, Version: p.Version()})
+}
+
+// fromPartialOutput returns a partial output and its item.
+func fromPartialOutput(data partialOutput) (int, batch.PartialOutput, error) {
+	var message versionedPartialOutput
+	var target any = &message.Output
+	if len(data) > 0 && data[0] == arrayOf2 {
+		target = &message
+	}
+	err := Decode(data, target)
+	return message.Output.Item, batch.RestorePartialOutput(message.Output.Text, message.Output.Last, message.Version), err
 }
 
 // batchSnapshot is the wire format of a snapshot of the jobs ledger.
@@ -168,15 +235,19 @@
 }
 
 // toBatchJob returns the wire format of a job.
-func toBatchJob(j batch.Job) batchJob {
+func toBatchJob(j batch.Job) (batchJob, error) {
 	wire := batchJob{Order: toBatchJobSpec(j.Spec()), Ended: j.Cancelled()}
 	for _, r := range j.Results() {
 		wire.Results = append(wire.Results, batchResult{Item: r.Item(), Verdict: uint8(r.Status()), Text: r.Text()})
 	}
 	for item, p := range j.PartialOutputs() {
-		wire.Parts = append(wire.Parts, batchResult{Item: item, Text: p.Text(), Last: p.LastEvent()})
+		part, err := toPartialOutput(item, p)
+		if err != nil {
+			return batchJob{}, errors.Wrap(err, "encode partial output")
+		}
+		wire.Parts = append(wire.Parts, part)
 	}
-	return wire
+	return wire, nil
 }
 
 // Estimates in bytes of what the encoded form needs besides ids, paths,
@@ -216,7 +287,13 @@
 	encoder := cbor.NewEncoder(&out)
 	steps := []func() error{encoder.StartIndefiniteArray, encoder.StartIndefiniteArray}
 	for _, j := range s.Jobs() {
-		steps = append(steps, func() error { return encoder.Encode(toBatchJob(j)) })
+		steps = append(steps, func() error {
+			job, err := toBatchJob(j)
+			if err != nil {
+				return err
+			}
+			return encoder.Encode(job)
+		})
 	}
 	steps = append(steps, encoder.EndIndefinite, func() error { return encoder.Encode(s.RetiringInstances()) }, encoder.EndIndefinite)
 	for _, step := range steps {
@@ -244,7 +321,11 @@
 		}
 		partials := make(map[int]batch.PartialOutput)
 		for _, p := range j.Parts {
-			partials[p.Item] = batch.RestorePartialOutput(p.Text, p.Last)
+			item, output, err := fromPartialOutput(p)
+			if err != nil {
+				return cluster.BatchSnapshot{}, err
+			}
+			partials[item] = output
 		}
 		jobs = append(jobs, batch.RestoreJob(j.Order.spec(), j.Ended, results, partials))
 	}
--- a/io/record/cluster_test.go
+++ b/io/record/cluster_test.go
@@ -37,6 +37,9 @@
 		{"submit", checkRoundTrip(codec.Batch, batch.Submit(spec))},
 		{"outputs", checkRoundTrip(codec.Batch, batch.Store([]batch.ItemOutput{
 			batch.NewFinalItemOutput("j", batch.NewResult(0, batch.ItemDone, []byte("x")), 5), batch.NewPartialItemOutput("j", 0, []byte("y"), 2, 5)}))},
+		{"outputs with versions", checkRoundTrip(codec.Batch, batch.Store([]batch.ItemOutput{
+			batch.NewFinalItemOutput("j", batch.NewResult(0, batch.ItemDone, []byte("x")), 0).AsReplacement(),
+			batch.NewPartialItemOutput("j", 0, []byte("y"), 2, 5).WithVersion("v1")}))},
 		{"cancel", checkRoundTrip(codec.Batch, batch.Cancel("j"))},
 		{"retire", checkRoundTrip(codec.Batch, batch.Retire("a:1"))},
 		{"document", checkRoundTrip(codec.Registry, registry.Configure(registry.NewDocument(7, []byte("{}"))))},
@@ -94,7 +97,7 @@
 	items := []batch.Item{batch.NewItem("x", "/p", nil, []byte("1"), 5), batch.NewItem("y", "/p", nil, []byte("2"), 6)}
 	s := batch.New()
 	s.Apply(batch.Submit(batch.NewJobSpec("j", "r", "h", items)))
-	s.Apply(batch.Store([]batch.ItemOutput{batch.NewFinalItemOutput("j", batch.NewResult(1, batch.ItemDone, []byte("t")), 0), batch.NewPartialItemOutput("j", 0, []byte("p"), 0, 3)}))
+	s.Apply(batch.Store([]batch.ItemOutput{batch.NewFinalItemOutput("j", batch.NewResult(1, batch.ItemDone, []byte("t")), 0), batch.NewPartialItemOutput("j", 0, []byte("p"), 0, 3).WithVersion("v1")}))
 	s.Apply(batch.Retire("a:1"))
 	codec := NewClusterCodec()
 	data, err := codec.BatchSnapshot.Encode(cluster.NewBatchSnapshot(s.Export(), s.RetiringInstances()))
