--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -64,6 +64,9 @@
 // ID returns the caller's id of the request.
 func (r Request) ID() string { return r.id }
 
+// Deadline returns when the caller must have an answer.
+func (r Request) Deadline() time.Time { return r.deadline }
+
 // ReserveTokens returns the number of tokens to reserve room for, 0 if no slot
 // may be reserved.
 func (r Request) ReserveTokens() int { return r.reserveTokens }
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -68,6 +68,10 @@
 // and copies the response to the caller. If ok is false, the front end must end the
 // request as failure says. The context must end at the deadline of the request.
 func (p *Process) ServeOnline(ctx context.Context, w http.ResponseWriter, online OnlineRequest) (failure Failure, ok bool) {
+	if p.isTooLate(online.request.Deadline()) {
+		event.RequestEnded.Log(p.logger, "request", online.request.ID(), "outcome", "instance is stopping", "runs", 0, "attempts", 0, "ms", 0)
+		return Failure{action: entry.ActionReject, retryAfter: lateRetryAfter}, false
+	}
 	ctx, span := p.spans.request(ctx, online.request)
 	defer func() { otlp.End(span, spanError(failure.outcome(ok), "answered")) }()
 	decisions := make(chan entry.Decision, 1)
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -77,6 +77,9 @@
 	itemAttempts   itemAttempts
 	snapshot       atomic.Pointer[cluster.Snapshot]
 	stopping       atomic.Bool
+	shutdownWindow atomic.Pointer[shutdownWindow] // nil until the shutdown starts
+	requestContext context.Context                // of all requests of HTTP servers
+	endRequests    context.CancelFunc
 	listenerErrors chan error
 	wait           sync.WaitGroup
 	listeners      []net.Listener
@@ -110,6 +113,7 @@
 		option(p)
 	}
 	p.startedAt = p.wallClock()
+	p.requestContext, p.endRequests = context.WithCancel(context.Background())
 	p.snapshot.Store(cluster.NewSnapshot(nil, nil, nil))
 	p.peerClient = peer.NewClient(s.PeerAddress(), peerKeys, peer.WithSourceIP(s.SourceIP()))
 	p.forward = forward.New(front.backendCodec, forward.WithSourceIP(s.SourceIP()), forward.WithLogger(p.logger))
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -78,7 +78,8 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return p.requestContext }}
 	p.shutdownGuard.Install(server)
 	p.servers = append(p.servers, server)
 	p.spawn(func() {
