--- a/io/forward/answer_meter.go
+++ b/io/forward/answer_meter.go
@@ -21,6 +21,7 @@
 // answerMeter follows the bytes of an answer's body and knows where events end.
 type answerMeter struct {
 	stream     bool  // the answer says that it is a stream of events
+	untilClose bool  // the body ends with the connection, so its end does not show that it is complete
 	events     bool  // the body is read as events
 	maxBytes   int64 // of the body
 	totalBytes int64
@@ -28,10 +29,11 @@
 	lineBytes  int64 // of the current line
 }
 
-// newAnswerMeter returns a meter for the answer with the given header and maximum size.
-func newAnswerMeter(h http.Header, maxBytes int64) answerMeter {
-	stream := hasEvents(h)
-	return answerMeter{maxBytes: maxBytes, stream: stream, events: stream}
+// newAnswerMeter returns a meter for an answer with the given maximum size.
+func newAnswerMeter(response *http.Response, maxBytes int64) answerMeter {
+	stream := hasEvents(response.Header)
+	untilClose := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return answerMeter{maxBytes: maxBytes, stream: stream, events: stream, untilClose: untilClose}
 }
 
 // hasEvents reports whether the header is that of a stream of events.
@@ -72,6 +74,8 @@
 	return m.totalBytes > m.maxBytes || m.eventBytes > maxEventBytes
 }
 
-// insideEvent reports whether the bytes of a stream so far end inside an event. A stream
-// that ends there was broken off, even if its end looks regular.
-func (m *answerMeter) insideEvent() bool { return m.stream && m.eventBytes > 0 }
+// brokenOff reports whether a stream that ends here was broken off, even if its end looks
+// regular: it ends inside an event, or with its connection before the first byte.
+func (m *answerMeter) brokenOff() bool {
+	return m.stream && (m.eventBytes > 0 || (m.untilClose && m.totalBytes == 0))
+}
--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -56,7 +56,7 @@
 		drainBody(resp.response.Body)
 		return runner.AttemptFailed, nil, lastEvent
 	}
-	meter := newAnswerMeter(resp.response.Header, maxItemBytes)
+	meter := newAnswerMeter(resp.response, maxItemBytes)
 	meter.events = true
 	text, newLastEvent, err := collectEvents(ctx, resp.response.Body, &meter, lastEvent, counter, partial)
 	switch {
@@ -96,7 +96,7 @@
 			text, first, reported = nil, true, events.lastID
 		}
 		if err != nil {
-			if err == io.EOF && len(events.pending) > 0 {
+			if err == io.EOF && (len(events.pending) > 0 || meter.brokenOff()) {
 				err = io.ErrUnexpectedEOF
 			}
 			return text, events.lastID, err
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -146,7 +146,7 @@
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
 	began, resumes := false, r.responseStarted
-	meter := newAnswerMeter(resp.response.Header, maxAnswerBytes)
+	meter := newAnswerMeter(resp.response, maxAnswerBytes)
 	meter.events = meter.events || resumable
 	for {
 		n, err := resp.response.Body.Read(buffer[:])
@@ -161,7 +161,7 @@
 		case meter.exceeded():
 			r.client.logExceeded(r.request.id, resp, &meter)
 			chunk, err = nil, errEndless
-		case err == io.EOF && meter.insideEvent():
+		case err == io.EOF && meter.brokenOff():
 			err = io.ErrUnexpectedEOF
 		}
 		if resumable {
