Event 411 has the age of the list of servers

Observability for DRAIN: a choice is logged with the age of what it was based on: the time since an upstream was in contact with the leader of the control ledger.

--- a/core/cluster/snapshot.go
+++ b/core/cluster/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"papayaquay/core/directory"
 	"papayaquay/core/quarantine"
@@ -19,6 +20,7 @@
 	stores     []directory.Instance
 	entries    int // known entry instances
 	ready      bool
+	staleness  time.Duration
 	quarantine *quarantine.View
 	versions   map[string]stream.VersionUse // by service
 }
@@ -71,6 +73,10 @@
 	return &changed
 }
 
+// Staleness returns the age of the list of servers when the snapshot was published: the time
+// since the last known contact of an upstream with the leader of the control ledger.
+func (s *Snapshot) Staleness() time.Duration { return s.staleness }
+
 // Quarantine returns the parts of prompts whose requests are rejected.
 func (s *Snapshot) Quarantine() *quarantine.View { return s.quarantine }
 
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -279,6 +279,7 @@
 		s.quarantine = w.quarantine.View().At(now)
 	}
 	s.entries = len(w.directory.Instances(directory.RoleEntry))
+	s.staleness = now.Sub(w.lastLeaderContact())
 	s.versions = w.streams.history.InUse(now)
 	s.stores = w.directory.Instances(directory.RoleStore)
 	w.publish(s)
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -240,7 +240,7 @@
 	sent = sent.Add(server.sent.Sent(now))
 	event.AttemptStarted.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "version", backend.Version(), "attempt", len(row.tried)+1,
 		"reserve", reserve, "in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates,
-		"limit", limit.PerSecond(), "sent_4s", sent.Burst(), "sent_12s", sent.Sustained())
+		"list_ms", w.snapshot().Staleness().Milliseconds(), "limit", limit.PerSecond(), "sent_4s", sent.Burst(), "sent_12s", sent.Sustained())
 	row.decide(Decision{action: ActionSend, number: number, backend: backend, reserve: reserve,
 		record: w.mustRecord(row), attempt: len(row.tried) + 1})
 }
