Files that have grown are split; no logic changes

The entry's dispatch, the runner's preemption and choice of servers, the wire formats of polls and of items' outputs, and the records of streams at an entry have files of their own.

--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -5,76 +5,10 @@
 	"time"
 
 	"papayaquay/core/batch"
-	"papayaquay/core/directory"
 	"papayaquay/core/event"
-	"papayaquay/core/member"
 	"papayaquay/core/progress"
 )
 
-// preempt stops items on servers that have more online requests and items than slots.
-func (w *World) preempt(now time.Time) {
-	var stopping map[string]int
-	for _, s := range w.servers {
-		id := s.Backend().ID()
-		excess := w.onlineRequests(id) + w.runningItems[id] - s.Backend().Slots()
-		if excess <= 0 || w.runningItems[id] == 0 {
-			continue
-		}
-		if stopping == nil {
-			stopping = w.stoppingCounts()
-		}
-		for n := stopping[id]; n < excess && w.preemptOne(now, id); n++ {
-		}
-	}
-}
-
-// stoppingCounts returns the number of attempts that are being stopped, by server.
-func (w *World) stoppingCounts() map[string]int {
-	counts := make(map[string]int)
-	w.running.Each(func(_ uint64, row *runningRow) {
-		if row.stopping {
-			counts[row.backend]++
-		}
-	})
-	return counts
-}
-
-// preemptOne stops one attempt on a server: an attempt that is expected to be late in
-// any case, otherwise the one with the latest due time. It reports false if the server
-// has no attempt to stop.
-func (w *World) preemptOne(now time.Time, backend string) bool {
-	victimNumber := uint64(0)
-	var victim *runningRow
-	w.running.Each(func(number uint64, row *runningRow) {
-		if row.backend == backend && !row.stopping && (victim == nil || w.isBetterVictim(now, row, victim)) {
-			victimNumber, victim = number, row
-		}
-	})
-	if victim == nil {
-		return false
-	}
-	event.ItemPreempted.Log(w.logger, "job", victim.key.job, "item", victim.key.item, "backend", backend,
-		"online", w.onlineRequests(backend), "batch", w.runningItems[backend], "tokens", victim.tokens, "event_expected", w.expectedEvent(now, victim),
-		"ran_ms", now.Sub(victim.started).Milliseconds())
-	w.preemptedAt.Put(backend, now)
-	w.requestStop(victimNumber, victim)
-	return true
-}
-
-// isBetterVictim reports whether an attempt should be preempted before another one.
-func (w *World) isBetterVictim(now time.Time, row, other *runningRow) bool {
-	job, otherJob := w.jobs.Get(row.key.job), w.jobs.Get(other.key.job)
-	if job == nil || otherJob == nil {
-		return job == nil
-	}
-	late := w.estimate.isLate(now, job.due, w.expectedEvent(now, row))
-	otherLate := w.estimate.isLate(now, otherJob.due, w.expectedEvent(now, other))
-	if late != otherLate {
-		return late
-	}
-	return job.due.After(otherJob.due)
-}
-
 // expire abandons the waiting items of jobs whose expiry has passed.
 func (w *World) expire(now time.Time) {
 	if now.Before(w.nextExpire) {
@@ -241,53 +175,3 @@
 		w.abandonJob(id, "route removed")
 	}
 }
-
-// continuesOn reports whether a server may continue the output of an item.
-func (p *progressRow) continuesOn(b member.Backend) bool {
-	return p == nil || p.lastEvent == 0 || p.version == b.Version()
-}
-
-// restartWithoutVersion discards the output of an item if no server of the version that began
-// it is left: servers of another version cannot continue it. Nothing is discarded while no
-// other server could run the item either.
-func (w *World) restartWithoutVersion(key itemKey, service string) {
-	p := w.progress.Get(key)
-	if p == nil || p.lastEvent == 0 {
-		return
-	}
-	others := false
-	for _, s := range w.servers {
-		if !s.Backend().Runs(service) || s.Stale() {
-			continue
-		}
-		if p.continuesOn(s.Backend()) {
-			return
-		}
-		others = true
-	}
-	if !others {
-		return
-	}
-	event.ItemRestarted.Log(w.logger, "job", key.job, "item", key.item, "version", p.version, "last_event", p.lastEvent)
-	*p = progressRow{failures: p.failures, retryAt: p.retryAt, replaces: p.replaces || p.storedEvent > 0}
-}
-
-// pickServer returns the server with the most free slots among those that run the
-// service. Servers whose limits leave room come first: online requests, which are shorter
-// and more, need the slots of the others. progress is that of the item, nil if it has none: only
-// servers of the version that began its output can continue it.
-func (w *World) pickServer(now time.Time, service string, progress *progressRow, free map[string]int) (directory.Server, bool) {
-	var best directory.Server
-	most, bestLimited := 0, false
-	for _, s := range w.servers {
-		n := free[s.Backend().ID()]
-		if n == 0 || !s.Backend().Runs(service) || !progress.continuesOn(s.Backend()) {
-			continue
-		}
-		_, limited := w.limitRoom(now, s.Backend())
-		if most == 0 || (limited && !bestLimited) || (limited == bestLimited && n > most) {
-			best, most, bestLimited = s, n, limited
-		}
-	}
-	return best, most > 0
-}
