--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -18,6 +18,9 @@
 	failingRuns = 2 // the next one is complete
 )
 
+// foreignSequence is the number that another writer has reached with its own reports.
+const foreignSequence = 4711
+
 // startWorkers starts workers and waits until the entries take connections.
 func startWorkers(d *deployment, count int) ([]*worker, error) {
 	var workers []*worker
@@ -104,7 +107,7 @@
 	}
 	if trouble {
 		for _, w := range workers {
-			body, err := json.Marshal(map[string]any{"service": "elsewhere", "address": w.address, "zone": "z1", "version": "v1", "slots": workerSlots, "state": "ready", "seq": 1, "born": time.Now().UnixMilli()})
+			body, err := json.Marshal(map[string]any{"service": "elsewhere", "address": w.address, "zone": "z1", "version": "v1", "slots": workerSlots, "state": "ready", "seq": foreignSequence, "born": w.born})
 			if err != nil {
 				return exitNotRun, err
 			}
--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -31,8 +31,11 @@
 // its public one.
 const proxiedOffset = 50
 
-// proxiedEntry is the position of the entry that is behind proxies.
-const proxiedEntry = 7
+// Position of the entry that is behind proxies among all processes and among the entries.
+const (
+	proxiedEntry       = 7
+	proxiedEntryNumber = 1
+)
 
 // ports are the ports by role on which others reach a process.
 var ports = map[string][]int{
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -31,6 +31,7 @@
 	"records":   lostRecords,
 	"crash":     crashingRequest,
 	"versions":  joinedVersions,
+	"deduced":   deducedVersion,
 }
 
 func main() {
@@ -90,7 +91,7 @@
 	d := newDeployment(program, folder, n, &record{out: out, start: time.Now()})
 	defer d.close()
 	go endEarly(d)
-	if err := d.startAll(name == "versions"); err != nil {
+	if err := d.startAll(name == "versions" || name == "deduced"); err != nil {
 		return exitNotRun, err
 	}
 	if !eventually(startTimeout, func() bool { return d.putDocument(fmt.Sprintf(n.Document, 3)) }) {
--- a/review/lab/versions.go
+++ b/review/lab/versions.go
@@ -9,12 +9,13 @@
 	"time"
 )
 
-// Times of the case of joined versions.
+// Times of the cases of joined versions.
 const (
-	settleTime  = 8 * time.Second // with one version
-	releaseTime = time.Second     // from the start of the partition until new workers serve
-	beforeBreak = 1200 * time.Millisecond
-	maxJoined   = 2
+	longSettleTime = 32 * time.Second // with one version, until control processes deduce versions
+	settleTime     = 8 * time.Second  // with one version
+	releaseTime    = time.Second      // from the start of the partition until new workers serve
+	beforeBreak    = 1200 * time.Millisecond
+	maxJoined      = 2 // streams that may hold events of two versions
 )
 
 // joinedVersions checks that no stream holds events of two software versions, when an entry
@@ -27,26 +28,40 @@
 		return exitNotRun, errNotReady
 	}
 	time.Sleep(settleTime)
-	cutOff := d.withRole("entry")[1]
-	setCut := func(cut bool) {
-		for _, p := range d.processes {
-			if p.role != "entry" {
-				d.network.setCut(cutOff.listen, p.listen, cut)
-			}
-		}
-		d.record.add("network: entry 1 cut off from the processes with a disk: %t", cut)
-	}
 	if trouble {
-		setCut(true)
+		d.cutOffEntry(true)
 	}
 	if _, err := d.addVersion(2, "v2", streamPause/2); err != nil {
 		return exitNotRun, err
 	}
 	time.Sleep(releaseTime)
-	b, err := newBreaker(strings.TrimPrefix(d.entryURL(0, ""), "http://"))
+	streams, next, err := d.takeUp(0, proxiedEntryNumber)
+	if trouble {
+		d.cutOffEntry(false)
+	}
 	if err != nil {
 		return exitNotRun, err
 	}
+	return judgeVersions(d, streams, next)
+}
+
+// cutOffEntry cuts the entry behind proxies off from the processes with a disk, or joins them.
+func (d *deployment) cutOffEntry(cut bool) {
+	for _, p := range d.processes {
+		if p.role != "entry" {
+			d.network.setCut(d.processes[proxiedEntry].listen, p.listen, cut)
+		}
+	}
+	d.record.add("network: entry %d cut off from the processes with a disk: %t", proxiedEntryNumber, cut)
+}
+
+// takeUp begins streams at an entry, resets their channels after beforeBreak, and takes them
+// up at another one.
+func (d *deployment) takeUp(first, second int) ([]*stream, []stream, error) {
+	b, err := newBreaker(strings.TrimPrefix(d.entryURL(first, ""), "http://"))
+	if err != nil {
+		return nil, nil, err
+	}
 	defer b.listener.Close()
 	var wait sync.WaitGroup
 	streams, next := make([]*stream, streamCount), make([]stream, streamCount)
@@ -59,22 +74,24 @@
 	}
 	time.Sleep(beforeBreak)
 	b.reset()
-	d.record.add("network: the channels of the clients to entry 0 are reset")
+	d.record.add("network: the channels of the clients to entry %d are reset", first)
 	wait.Wait()
 	for n, s := range streams {
 		if s.lastEvent > 0 && s.lastEvent < eventCount {
 			wait.Go(func() {
-				d.open(context.Background(), d.entryURL(1, ""), s.id+"a", s.id, s.lastEvent, timeBudget-time.Since(s.began), &next[n])
+				d.open(context.Background(), d.entryURL(second, ""), s.id+"a", s.id, s.lastEvent, timeBudget-time.Since(s.began), &next[n])
 			})
 		}
 	}
 	wait.Wait()
-	if trouble {
-		setCut(false)
-	}
+	return streams, next, nil
+}
+
+// judgeVersions counts the streams that hold events of two versions.
+func judgeVersions(d *deployment, streams []*stream, next []stream) (int, error) {
 	joined, taken := 0, 0
 	for n, s := range streams {
-		d.record.add("client: stream %s: status %d, %d events of %q; taken up at entry 1: status %d, %d more events of %q",
+		d.record.add("client: stream %s: status %d, %d events of %q; taken up: status %d, %d more events of %q",
 			s.id, s.status, s.lastEvent, s.version, next[n].status, next[n].lastEvent, next[n].version)
 		if s.lastEvent > 0 {
 			taken++
@@ -106,3 +123,31 @@
 	}
 	return workers, nil
 }
+
+// deducedVersion checks that no stream holds events of two software versions, when the entry
+// that begins streams is cut off from the processes with a disk after workers of a new version
+// came, and another one continues them.
+func deducedVersion(d *deployment, trouble bool) (int, error) {
+	if _, err := d.addVersion(0, "v1", streamPause/2); err != nil {
+		return exitNotRun, err
+	}
+	if !d.awaitReady() {
+		return exitNotRun, errNotReady
+	}
+	time.Sleep(longSettleTime)
+	if _, err := d.addVersion(2, "v2", streamPause/2); err != nil {
+		return exitNotRun, err
+	}
+	time.Sleep(releaseTime)
+	if trouble {
+		d.cutOffEntry(true)
+	}
+	streams, next, err := d.takeUp(proxiedEntryNumber, 0)
+	if trouble {
+		d.cutOffEntry(false)
+	}
+	if err != nil {
+		return exitNotRun, err
+	}
+	return judgeVersions(d, streams, next)
+}
