--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -30,6 +30,7 @@
 	"foreign":   foreignReport,
 	"records":   lostRecords,
 	"crash":     crashingRequest,
+	"restarted": restartedWorker,
 	"versions":  joinedVersions,
 	"deduced":   deducedVersion,
 }
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -39,6 +39,7 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 	down     bool
+	late     time.Duration // by which its reports arrive late
 	sequence int
 	runs     map[string]int
 	answers  int
@@ -70,21 +71,39 @@
 // heartbeats sends a heartbeat at each interval, while the worker is not down.
 func (w *worker) heartbeats() {
 	for n := 0; ; n++ {
-		controls := w.d.withRole("control")
-		for i := range controls {
-			if w.isDown() {
-				break
-			}
-			p := controls[(n+i)%len(controls)]
-			status, _ := w.d.post(fmt.Sprintf("http://%s:%d"+w.d.names.Heartbeat, p.address, controlPort, w.id), "", "", w.report())
-			if status == http.StatusOK {
-				break
-			}
+		if !w.isDown() {
+			go w.send(n)
 		}
 		time.Sleep(heartbeatEvery)
 	}
 }
 
+// send sends a heartbeat, late by the time of the worker, to the control processes in turn
+// until one accepts it.
+func (w *worker) send(n int) {
+	id, _ := w.identity()
+	body := w.report()
+	w.mu.Lock()
+	late := w.late
+	w.mu.Unlock()
+	time.Sleep(late)
+	controls := w.d.withRole("control")
+	for i := range controls {
+		p := controls[(n+i)%len(controls)]
+		status, _ := w.d.post(fmt.Sprintf("http://%s:%d"+w.d.names.Heartbeat, p.address, controlPort, id), "", "", body)
+		if status == http.StatusOK {
+			return
+		}
+	}
+}
+
+// identity returns the worker's id and its software version.
+func (w *worker) identity() (id, version string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id, w.version
+}
+
 // accept serves connections until the listener is closed.
 func (w *worker) accept(l net.Listener) {
 	for {
@@ -101,7 +120,11 @@
 
 // crash resets all connections and accepts none for crashTime. Then the worker is back with
 // another id.
-func (w *worker) crash() {
+func (w *worker) crash() { w.restart(crashTime, w.id+"0", w.version, 0) }
+
+// restart resets all connections and accepts none for a time. Then the worker is back, with an
+// id and a software version. Its reports arrive late from then on, by the given time.
+func (w *worker) restart(down time.Duration, id, version string, late time.Duration) {
 	w.mu.Lock()
 	if w.down {
 		w.mu.Unlock()
@@ -117,8 +140,8 @@
 	}
 	w.conns = make(map[net.Conn]bool)
 	w.mu.Unlock()
-	w.d.record.add("worker %s: crashed", w.id)
-	time.Sleep(crashTime)
+	w.d.record.add("worker %s: down", w.id)
+	time.Sleep(down)
 	l, err := net.Listen("tcp", w.address)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -127,7 +150,8 @@
 		return
 	}
 	w.listen, w.down, w.sequence, w.born = l, false, 0, time.Now().UnixMilli()
-	w.id += "0"
+	w.id, w.version, w.late = id, version, late
+	w.d.record.add("worker %s: back, version %s", w.id, w.version)
 	go w.accept(l)
 }
 
@@ -175,6 +199,7 @@
 func (w *worker) answer(conn net.Conn, reader *bufio.Reader, request *http.Request) (extra string, ok bool) {
 	n := w.d.names
 	id := request.Header.Get(n.RequestID)
+	self, version := w.identity()
 	switch {
 	case request.Method == http.MethodGet:
 		_, err := io.WriteString(conn, w.head(id, http.StatusOK, "Content-Length: 0"))
@@ -182,12 +207,12 @@
 	case id == "":
 		_, err := io.WriteString(conn, w.head(id, http.StatusNotFound, "Content-Length: 0"))
 		return "", err == nil
-	case request.Header.Get(n.ExpectedWorker) != "" && request.Header.Get(n.ExpectedWorker) != w.id:
+	case request.Header.Get(n.ExpectedWorker) != "" && request.Header.Get(n.ExpectedWorker) != self:
 		_, err := io.WriteString(conn, w.head(id, http.StatusMisdirectedRequest, "Content-Length: 0"))
 		return "", err == nil
 	}
 	if w.crashes != nil && w.crashes(request.URL.Path) {
-		w.d.record.add("worker %s: %s reaches it as %s", w.id, request.URL.Path, id)
+		w.d.record.add("worker %s: %s reaches it as %s", self, request.URL.Path, id)
 		w.crash()
 		return "", false
 	}
@@ -196,11 +221,11 @@
 	w.answers++
 	run := w.runs[id]
 	w.mu.Unlock()
-	proof := n.Proof + ": " + w.id + "." + id
+	proof := n.Proof + ": " + self + "." + id
 	if w.fail != nil {
 		if status := w.fail(id); status != 0 {
 			text := w.head(id, status, proof, "Content-Length: 0")
-			w.d.record.add("worker %s: run %d of %s, answers %d", w.id, run, id, status)
+			w.d.record.add("worker %s: run %d of %s, answers %d", self, run, id, status)
 			if w.extra != nil && w.extra(id) {
 				extra = text
 			}
@@ -208,34 +233,35 @@
 			return extra, err == nil
 		}
 	}
-	return "", w.stream(conn, reader, request, id, proof, run)
+	return "", w.stream(conn, reader, request, id, proof, version, run)
 }
 
 // stream answers a request with events. It stops when the connection closes.
-func (w *worker) stream(conn net.Conn, reader *bufio.Reader, request *http.Request, id, proof string, run int) bool {
+func (w *worker) stream(conn net.Conn, reader *bufio.Reader, request *http.Request, id, proof, version string, run int) bool {
 	next := make(chan error, 1) // the begin of the next request, or the end of the connection
 	go func() {
 		_, err := reader.Peek(1)
 		next <- err
 	}()
+	self, _, _ := strings.Cut(strings.TrimPrefix(proof, w.d.names.Proof+": "), ".")
 	from, _ := strconv.Atoi(request.Header.Get(w.d.names.LastEvent))
-	w.d.record.add("worker %s: run %d of %s begins after event %d", w.id, run, id, from)
+	w.d.record.add("worker %s (%s): run %d of %s begins after event %d", self, version, run, id, from)
 	if _, err := io.WriteString(conn, w.head(id, http.StatusOK, proof, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")); err != nil {
 		return false
 	}
 	for i := from + 1; i <= eventCount; i++ {
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, w.version+piece(id, i))
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, version+piece(id, i))
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
 		}
 		select {
 		case <-next:
-			w.d.record.add("worker %s: run %d of %s: the connection closed at event %d", w.id, run, id, i)
+			w.d.record.add("worker %s (%s): run %d of %s: the connection closed at event %d", self, version, run, id, i)
 			return false
 		case <-time.After(w.pause):
 		}
 	}
-	w.d.record.add("worker %s: run %d of %s is complete", w.id, run, id)
+	w.d.record.add("worker %s (%s): run %d of %s is complete", self, version, run, id)
 	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
 		return false
 	}
