Look up each stream that is taken up, whatever this entry knows of versions

Cause: an entry asked which version began a stream only if its own list of servers had several versions. The list says what the entry was told last, not what is true now. Ruled out: missing records; other entries found them.

Change: an entry looks up every stream that a caller takes up, in the streams that it began itself (kept always now) or at the control instances. Control instances conclude nothing from the lack of a record without recent contact with the leader, and veto a conclusion if streams of several versions may have no record.

Two rows of TestTakenUpStreamGoesOnAtItsVersion encoded the fault (nobody asked while one version is known, and that version taken when the answer was unknown); the rows that replace them require the question and the rejection. In TestHistory, one version known for 5 to 30 s after a start is now enough for a conclusion, since nothing else would answer at the start of a system; two versions are not.

--- a/core/cluster/system_stream.go
+++ b/core/cluster/system_stream.go
@@ -108,13 +108,7 @@
 		event.CallEncodingFailed.Log(w.logger, "call", "stream query", "from", requester.from, "error", err)
 		return
 	}
-	answer := stream.Answer{}
-	if version, ok := w.streams.records.Find(now, query.ID()); ok {
-		answer = stream.NewAnswer(stream.Recorded, version)
-	} else if version, ok := w.streams.history.Unrecorded(now, query.Service()); ok {
-		answer = stream.NewAnswer(stream.Deduced, version)
-	}
-	data, err := w.codec.StreamAnswer.Encode(answer)
+	data, err := w.codec.StreamAnswer.Encode(w.streamAnswer(now, query))
 	if err != nil {
 		event.CallEncodingFailed.Log(w.logger, "call", "stream query", "to", requester.from, "error", err)
 		return
@@ -122,6 +116,22 @@
 	w.reply(requester, call.StatusDone, data)
 }
 
+// streamAnswer returns what this instance knows of the version that began a stream. Without
+// recent contact with the leader of the control ledger it may lack versions and records, so
+// nothing follows from the lack of a record.
+func (w *World) streamAnswer(now time.Time, query stream.Query) stream.Answer {
+	if version, ok := w.streams.records.Find(now, query.ID()); ok && query.Named() {
+		return stream.NewAnswer(stream.Recorded, version)
+	}
+	switch {
+	case now.Sub(w.lastLeaderContact()) > upstreamMaxStaleness:
+		return stream.Answer{}
+	case !query.Named():
+		return w.streams.history.Sole(now, query.Service())
+	}
+	return w.streams.history.Unrecorded(now, query.Service())
+}
+
 // streamSearch collects the answers of the control instances to one query.
 type streamSearch struct {
 	instances int
--- a/core/entry/stream_test.go
+++ b/core/entry/stream_test.go
@@ -66,7 +66,7 @@
 // TestTakenUpStreamGoesOnAtItsVersion guards against streams that hold events of servers of two
 // software versions, over several requests of their caller.
 func TestTakenUpStreamGoesOnAtItsVersion(t *testing.T) {
-	mixed, only := stream.SeveralVersions(), stream.NewVersionUse(false, "v1")
+	mixed, only := stream.NewVersionUse(true), stream.NewVersionUse(false)
 	for _, test := range []struct {
 		name    string
 		use     stream.VersionUse
@@ -77,13 +77,17 @@
 		want    []string        // versions that may get the request; none if it must be rejected
 	}{
 		{"new stream", mixed, "", false, "", nil, []string{"v1", "v2"}},
-		{"one version in use", only, "", true, "first", nil, []string{"v1", "v2"}},
+		{"one version known here, begun by it", only, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Deduced, "v1")}, []string{"v1"}},
+		{"one version known here, begun by another", only, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Recorded, "v2")}, []string{"v2"}},
+		{"one version known here, no answer", only, "", true, "first", []stream.Answer{{}}, nil},
+		{"one version known here, begun here", only, "v1", true, "first", nil, []string{"v1"}},
 		{"begun here", mixed, "v1", true, "first", nil, []string{"v1"}},
 		{"begun elsewhere, recorded", mixed, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Recorded, "v2")}, []string{"v2"}},
 		{"begun elsewhere, deduced", mixed, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Deduced, "v1")}, []string{"v1"}},
 		{"unknown", mixed, "", true, "first", []stream.Answer{{}}, nil},
-		{"unknown while one version is known", stream.NewVersionUse(true, "v1"), "", true, "first", []stream.Answer{{}}, []string{"v1"}},
-		{"request not named", mixed, "", true, "", nil, nil},
+		{"ambiguous", mixed, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Ambiguous, "")}, nil},
+		{"request not named", mixed, "", true, "", []stream.Answer{stream.NewAnswer(stream.Ambiguous, "")}, nil},
+		{"request not named, one version", only, "", true, "", []stream.Answer{stream.NewAnswer(stream.Deduced, "v1")}, []string{"v1"}},
 		{"version is gone", mixed, "", true, "first", []stream.Answer{stream.NewAnswer(stream.Recorded, "v0")}, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/entry/system_dispatch.go
+++ b/core/entry/system_dispatch.go
@@ -15,7 +15,7 @@
 		w.nextWatch = due
 	}
 	row := w.requests.Put(w.lastNumber, requestRow{request: *input.request, decide: input.decide, progress: input.progress, abandon: input.abandon})
-	if w.mustFindOrigin(row) {
+	if row.request.mustFindOrigin() {
 		w.findOrigin(now, w.lastNumber, row)
 		return
 	}
--- a/core/entry/system_stream.go
+++ b/core/entry/system_stream.go
@@ -20,22 +20,21 @@
 
 // keepOrigin keeps which version begins the answer, for callers that take it up again here.
 func (w *World) keepOrigin(now time.Time, row *requestRow) {
-	if !w.mustRecord(row) {
+	if !row.request.resumable || row.stream.known {
 		return
 	}
 	w.began.Add(now, stream.NewRecord(stream.NewID(row.request.id), len(row.tried)+1, row.version))
 }
 
 // mustFindOrigin reports whether it must be found out which version began the stream that a
-// request takes up.
-func (w *World) mustFindOrigin(row *requestRow) bool {
-	return row.request.isTakenUp && row.request.resumable && w.snapshot().Versions(row.request.service).Mixed()
-}
+// request takes up. That this instance knows one version only proves nothing: its list of
+// servers may be older than the stream.
+func (r Request) mustFindOrigin() bool { return r.isTakenUp && r.resumable }
 
 // findOrigin finds out which version began the stream that a request takes up.
 func (w *World) findOrigin(now time.Time, number uint64, row *requestRow) {
 	if row.request.begunBy == "" {
-		w.originFound(now, number, stream.Answer{})
+		w.findStream(number, stream.NewQuery(0, row.request.service))
 		return
 	}
 	id := stream.NewID(row.request.begunBy)
@@ -53,10 +52,7 @@
 	if row == nil {
 		return
 	}
-	version, ok := answer.Version(), answer.Certainty() != stream.Unknown
-	if !ok {
-		version, ok = w.snapshot().Versions(row.request.service).Only()
-	}
+	version, ok := answer.Version(), answer.Certainty() == stream.Recorded || answer.Certainty() == stream.Deduced
 	event.StreamTakenUp.Log(w.logger, "request", row.request.id, "begun_by", row.request.begunBy, "version", version,
 		"certainty", answer.Certainty().String(), "known", ok, "ms", now.Sub(row.request.arrived).Milliseconds())
 	if !ok {
--- a/core/stream/history.go
+++ b/core/stream/history.go
@@ -10,29 +10,17 @@
 // settleTime is the time after the start of an instance in which it may not know all servers.
 const settleTime = 5 * time.Second
 
-// VersionUse says which software versions of a service's servers take requests.
-type VersionUse struct {
-	mixed   bool
-	only    string
-	hasOnly bool
-}
-
-// NewVersionUse returns the use of one known version. mixed says that there may be others.
-func NewVersionUse(mixed bool, only string) VersionUse {
-	return VersionUse{mixed: mixed, only: only, hasOnly: true}
-}
+// VersionUse says whether servers of one or of several software versions run a service.
+type VersionUse struct{ mixed bool }
 
-// SeveralVersions returns the use of several versions.
-func SeveralVersions() VersionUse { return VersionUse{mixed: true} }
+// NewVersionUse returns the use of versions. mixed says that there are several, or may be.
+func NewVersionUse(mixed bool) VersionUse { return VersionUse{mixed: mixed} }
 
 // Mixed reports whether servers of several versions took requests lately, or may have:
-// streams that begin now must be recorded.
+// streams that begin now must be recorded. It says only what this instance was told last, so
+// it must not decide where a stream goes on that another instance may have begun.
 func (u VersionUse) Mixed() bool { return u.mixed }
 
-// Only returns the one version that is known to have taken requests lately, and whether there
-// is exactly one.
-func (u VersionUse) Only() (version string, ok bool) { return u.only, u.hasOnly }
-
 // versionKey is a software version of a service's servers.
 type versionKey struct {
 	service string
@@ -88,28 +76,38 @@
 			return
 		}
 		recent := h.recent(now, key.service, 2*Retention)
-		use[key.service] = SeveralVersions()
-		if len(recent) == 1 {
-			use[key.service] = NewVersionUse(now.Sub(h.startedAt) < settleTime, recent[0].version)
-		}
+		use[key.service] = NewVersionUse(len(recent) != 1 || now.Sub(h.startedAt) < settleTime)
 	})
 	return use
 }
 
-// Unrecorded returns the version that began a stream which is not recorded: the only one of
-// the time in which a stream needed no record. ok is false if that is not certain.
-func (h *History) Unrecorded(now time.Time, service string) (version string, ok bool) {
+// Unrecorded returns which version began a stream that is not recorded: the only one of the
+// time in which a stream needed no record.
+func (h *History) Unrecorded(now time.Time, service string) Answer {
 	recent := h.recent(now, service, Retention)
-	if len(recent) == 0 || now.Sub(h.startedAt) < Retention {
-		return "", false
+	age := now.Sub(h.startedAt)
+	switch {
+	case len(recent) == 0 || age < settleTime:
+		return Answer{}
+	case len(recent) == 1:
+		return NewAnswer(Deduced, recent[0].version)
+	case age < Retention:
+		return Answer{} // the versions that were in use before the start are not known
+	}
+	first, second := recent[0], recent[1]
+	wasAlone := second.firstSeen.Sub(first.firstSeen) >= settleTime
+	if !wasAlone || now.Sub(second.firstSeen) >= Retention {
+		return NewAnswer(Ambiguous, "")
 	}
-	first := recent[0]
-	if len(recent) == 1 {
-		return first.version, true
+	return NewAnswer(Deduced, first.version)
+}
+
+// Sole returns the version of a service's servers if there was no other one lately.
+func (h *History) Sole(now time.Time, service string) Answer {
+	if len(h.recent(now, service, Retention)) > 1 {
+		return NewAnswer(Ambiguous, "")
 	}
-	second := recent[1]
-	wasAlone := second.firstSeen.Sub(first.firstSeen) >= settleTime && now.Sub(second.firstSeen) < Retention
-	return first.version, wasAlone
+	return h.Unrecorded(now, service)
 }
 
 // recentVersion is a version and when its first server was seen.
--- a/core/stream/message.go
+++ b/core/stream/message.go
@@ -1,14 +1,18 @@
 package stream
 
-// Query asks which version began a stream of a service.
+// Query asks which version began a stream of a service. If the caller did not name the stream,
+// it asks for the only version of the service.
 type Query struct {
 	id      ID
 	service string
 }
 
-// NewQuery returns a query.
+// NewQuery returns a query. id is zero if the caller did not name the stream.
 func NewQuery(id ID, service string) Query { return Query{id: id, service: service} }
 
+// Named reports whether the stream is known by its id.
+func (q Query) Named() bool { return q.id != 0 }
+
 // ID returns the stream.
 func (q Query) ID() ID { return q.id }
 
@@ -20,14 +24,15 @@
 
 // Certainties.
 const (
-	Unknown  Certainty = iota // the instance does not know the version
-	Recorded                  // it has a record of the stream
-	Deduced                   // it has no record, and streams of another version would have been recorded
+	Unknown   Certainty = iota // the instance does not know the version
+	Recorded                   // it has a record of the stream
+	Deduced                    // it has no record, and streams of another version would have been recorded
+	Ambiguous                  // it has no record, and streams of several versions may have none
 )
 
 // String returns the name used in logs.
 func (c Certainty) String() string {
-	names := [...]string{"unknown", "recorded", "deduced"}
+	names := [...]string{"unknown", "recorded", "deduced", "ambiguous"}
 	if int(c) >= len(names) {
 		return names[0]
 	}
@@ -61,6 +66,8 @@
 		switch {
 		case a.certainty == Recorded:
 			return a
+		case a.certainty == Ambiguous:
+			contradicted = true
 		case a.certainty == Deduced && deduced.certainty == Unknown:
 			deduced = a
 		case a.certainty == Deduced && a.version != deduced.version:
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -69,7 +69,8 @@
 	}{
 		{"one version", now, []use{{"v1", 0, now}}, false, "v1"},
 		{"one version, instance started just now", settleTime - 1, []use{{"v1", 0, settleTime}}, true, ""},
-		{"one version, instance started lately", Retention - 1, []use{{"v1", 0, Retention}}, false, ""},
+		{"one version, instance started lately", Retention - 1, []use{{"v1", 0, Retention}}, false, "v1"},
+		{"two versions, instance started lately", Retention - 1, []use{{"v1", 0, Retention}, {"v2", 10 * time.Second, Retention}}, true, ""},
 		{"a second version since a second", now, []use{{"v1", 0, now}, {"v2", now - time.Second, now}}, true, "v1"},
 		{"a second version for longer than streams last", now, []use{{"v1", 0, now}, {"v2", now - Retention, now}}, true, ""},
 		{"both known from the start", now, []use{{"v1", 0, now}, {"v2", 0, now}}, true, ""},
@@ -91,11 +92,9 @@
 				h.Run(start.Add(at))
 			}
 			c.Check(h.InUse(start.Add(test.now))["s"].Mixed(), qt.Equals, test.mixed)
-			version, ok := h.Unrecorded(start.Add(test.now), "s")
-			c.Check(ok, qt.Equals, test.unrecorded != "")
-			if ok {
-				c.Check(version, qt.Equals, test.unrecorded)
-			}
+			answer := h.Unrecorded(start.Add(test.now), "s")
+			c.Check(answer.Certainty() == Deduced, qt.Equals, test.unrecorded != "")
+			c.Check(answer.Version(), qt.Equals, test.unrecorded)
 		})
 	}
 }
@@ -118,6 +117,7 @@
 		{"one does not know", []Answer{deduced, unknown, deduced}, 3, deduced},
 		{"deductions differ", []Answer{deduced, NewAnswer(Deduced, "v3")}, 2, unknown},
 		{"the only instance deduces", []Answer{deduced}, 1, deduced},
+		{"one knows that several versions are possible", []Answer{deduced, deduced, NewAnswer(Ambiguous, "")}, 3, unknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			qt.Assert(t, Conclude(test.answers, test.instances) == test.want, qt.IsTrue)
