Begin streams on a later version only with a confirmed record

Cause: control instances conclude from a missing record that a stream is older than the second version, but an entry let streams begin without one after 0.15 s. Ruled out: the entry in touch asked and got all answers; they were wrong.

Change: while such conclusions are possible, a request goes to a server of a later version only when a majority of the control instances (four at most) in contact with the leader has the record, and a conclusion needs answers of enough instances to include one of them. Otherwise the request, of which nothing was sent, goes to the earlier version. A conclusion needed all but one of the instances before; with two of five or six down, which a grown deployment bears, streams that were taken up would have been refused.

--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -71,9 +71,9 @@
 }
 
 // RecordStream records which version is about to begin a stream. done is called on the control
-// thread when another instance has the record.
-func RecordStream(r stream.Record, done func()) Input {
-	return Input{streamRecord: &pendingRecord{record: r, done: done}}
+// thread when another instance has the record, or enough of them if it is required.
+func RecordStream(r stream.Record, required bool, done func()) Input {
+	return Input{streamRecord: &pendingRecord{record: r, required: required, done: done}}
 }
 
 // FindStream asks which version began a stream. answer is called on the control thread.
--- a/core/cluster/stream_test.go
+++ b/core/cluster/stream_test.go
@@ -56,7 +56,7 @@
 			s.c.Assert(s.instance("e0").snapshot.Versions("s").Mixed(), qt.IsTrue)
 			recorded := false
 			e0 := s.instance("e0")
-			e0.inbox = append(e0.inbox, RecordStream(stream.NewRecord(1, 1, "v2"), func() { recorded = true }))
+			e0.inbox = append(e0.inbox, RecordStream(stream.NewRecord(1, 1, "v2"), true, func() { recorded = true }))
 			s.run(50 * time.Millisecond)
 			s.c.Assert(recorded, qt.IsTrue)
 			for _, address := range test.down {
@@ -109,3 +109,45 @@
 	announce(stream.Retention, "v2")
 	check(false, stream.Deduced, "v2")
 }
+
+// TestRequiredRecord checks when a record counts as confirmed that other instances must not miss,
+// and that they find it whichever of them answer.
+func TestRequiredRecord(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		required bool
+		down     []string
+		want     bool
+	}{
+		{"all instances are up", true, nil, true},
+		{"a control instance is down", true, []string{"c0"}, true},
+		{"two control instances are down", true, []string{"c0", "c1"}, false},
+		{"two control instances are down, not required", false, []string{"c0", "c1"}, true},
+		{"all control instances are down, not required", false, []string{"c0", "c1", "c2"}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 0)
+			s.run(4 * time.Second)
+			s.announceVersion("c0", "b0", "v1", 1)
+			s.run(6 * time.Second)
+			s.announceVersion("c0", "b1", "v2", 1)
+			s.run(time.Second)
+			s.c.Assert(s.instance("e0").snapshot.Versions("s").MustRecord("v2"), qt.IsTrue)
+			s.c.Assert(s.instance("e0").snapshot.Versions("s").MustRecord("v1"), qt.IsFalse)
+			for _, address := range test.down {
+				s.instance(address).down = true
+			}
+			s.run(3 * time.Second)
+			recorded := false
+			e0 := s.instance("e0")
+			e0.inbox = append(e0.inbox, RecordStream(stream.NewRecord(1, 1, "v2"), test.required, func() { recorded = true }))
+			s.run(time.Second)
+			s.c.Check(recorded, qt.Equals, test.want)
+			if test.required && test.want {
+				answer := s.findStream("e1", 1)
+				s.c.Check(answer.Certainty(), qt.Equals, stream.Recorded)
+				s.c.Check(answer.Version(), qt.Equals, "v2")
+			}
+		})
+	}
+}
--- a/core/cluster/system_stream.go
+++ b/core/cluster/system_stream.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"papayaquay/core/call"
@@ -29,8 +30,9 @@
 
 // pendingRecord is a record that an entry instance must send.
 type pendingRecord struct {
-	record stream.Record
-	done   func()
+	record   stream.Record
+	required bool // done is called when enough instances have it for the stream to begin
+	done     func()
 }
 
 // newStreamKeeper returns a keeper without records.
@@ -55,8 +57,28 @@
 	}
 }
 
-// sendRecords sends the pending records to each upstream. One that has them is enough for
-// the streams to begin.
+// spareCopies is the number of instances, beyond those that must have a record, to which it is
+// sent: some may be down.
+const spareCopies = 2
+
+// recordTargets returns the control instances to which records are sent, those first that this
+// instance is in contact with.
+func (w *World) recordTargets(controls []string) []string {
+	var targets, others []string
+	for _, address := range w.upstreams.rotate(controls) {
+		if row := w.upstreams.rows.Get(address); row != nil && row.answered {
+			targets = append(targets, address)
+		} else {
+			others = append(others, address)
+		}
+	}
+	targets = append(targets, others...)
+	return targets[:min(len(targets), stream.Copies(len(controls))+spareCopies)]
+}
+
+// sendRecords sends the pending records to control instances. One that has them is enough for
+// most streams to begin; a required record must be at stream.Copies of those that are in contact
+// with the leader of the control ledger.
 func (w *World) sendRecords(now time.Time) {
 	k := w.streams
 	pending := k.pending
@@ -70,22 +92,42 @@
 		event.CallEncodingFailed.Log(w.logger, "call", "stream records", "error", err)
 		return
 	}
-	recorded := false
-	w.upstreams.rows.Each(func(address string, row *upstreamRow) {
-		if !row.answered {
-			return
-		}
+	controls := w.controlInstances()
+	copies, current := 0, 0
+	for _, address := range w.recordTargets(controls) {
 		c := call.New(call.KindStreamRecords, call.TargetInstance, now.Add(streamRecordTimeout), payload, call.WithAddress(address))
 		w.calls.Start(now, c, func(reply call.Reply) {
-			if recorded || reply.Status() != call.StatusDone {
+			if reply.Status() != call.StatusDone {
 				return
 			}
-			recorded = true
-			for _, p := range pending {
-				p.done()
+			copies++
+			if !slices.Equal(reply.Payload(), outOfContact) {
+				current++
+			}
+			for i := range pending {
+				pending[i].confirm(copies, current, stream.Copies(len(controls)))
 			}
 		})
-	})
+	}
+}
+
+// confirm calls done once when enough instances have the record.
+func (p *pendingRecord) confirm(copies, current, needed int) {
+	if p.done == nil || copies == 0 || (p.required && current < needed) {
+		return
+	}
+	p.done()
+	p.done = nil
+}
+
+// outOfContact is the payload of a reply to records of a control instance without recent contact
+// with the leader of the control ledger. Others may conclude without asking it.
+var outOfContact = []byte{1}
+
+// isCurrent reports whether this instance was in contact with the leader of the control ledger
+// recently. Without it, it may lack versions and records that others know.
+func (w *World) isCurrent(now time.Time) bool {
+	return now.Sub(w.lastLeaderContact()) <= upstreamMaxStaleness
 }
 
 // serveStreamRecords keeps the records of an entry instance.
@@ -98,7 +140,11 @@
 	for _, r := range records {
 		w.streams.records.Add(now, r)
 	}
-	w.reply(requester, call.StatusDone, nil)
+	var reply []byte
+	if !w.isCurrent(now) {
+		reply = outOfContact
+	}
+	w.reply(requester, call.StatusDone, reply)
 }
 
 // serveStreamQuery answers which version began a stream.
@@ -116,15 +162,14 @@
 	w.reply(requester, call.StatusDone, data)
 }
 
-// streamAnswer returns what this instance knows of the version that began a stream. Without
-// recent contact with the leader of the control ledger it may lack versions and records, so
-// nothing follows from the lack of a record.
+// streamAnswer returns what this instance knows of the version that began a stream. While it is
+// not current, nothing follows from the lack of a record.
 func (w *World) streamAnswer(now time.Time, query stream.Query) stream.Answer {
-	if version, ok := w.streams.records.Find(now, query.ID()); ok && query.Named() {
-		return stream.NewAnswer(stream.Recorded, version)
+	if r, ok := w.streams.records.Find(now, query.ID()); ok && query.Named() {
+		return r.Answer()
 	}
 	switch {
-	case now.Sub(w.lastLeaderContact()) > upstreamMaxStaleness:
+	case !w.isCurrent(now):
 		return stream.Answer{}
 	case !query.Named():
 		return w.streams.history.Sole(now, query.Service())
@@ -167,7 +212,8 @@
 	return addresses
 }
 
-// streamAnswered adds an answer to a search. A record ends the search at once.
+// streamAnswered adds an answer to a search, which ends as soon as the version follows from
+// enough answers.
 func (w *World) streamAnswered(search *streamSearch, address string, reply call.Reply) {
 	search.waiting--
 	if search.done == nil {
@@ -182,7 +228,8 @@
 		}
 	}
 	conclusion := stream.Conclude(search.answers, search.instances)
-	if conclusion.Certainty() == stream.Recorded || search.waiting == 0 {
+	isEnough := conclusion.Certainty() != stream.Unknown && len(search.answers) >= stream.AnswersNeeded(search.instances)
+	if isEnough || search.waiting == 0 {
 		search.done(conclusion)
 		search.done = nil
 	}
--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -86,14 +86,15 @@
 
 // Decision is the next step for a request and its parameters.
 type Decision struct {
-	action     Action
-	number     uint64
-	backend    member.Backend
-	reserve    bool
-	record     bool
-	attempt    int
-	retryAfter time.Duration
-	reason     string
+	action      Action
+	number      uint64
+	backend     member.Backend
+	reserve     bool
+	record      bool
+	recordFirst bool
+	attempt     int
+	retryAfter  time.Duration
+	reason      string
 }
 
 // Action returns the next step.
@@ -113,6 +114,10 @@
 // the caller.
 func (d Decision) Record() bool { return d.record }
 
+// RecordFirst reports whether the record must be confirmed before the request is sent. Without
+// it, it must not be sent.
+func (d Decision) RecordFirst() bool { return d.recordFirst }
+
 // Attempt returns the number of the attempt within the request, from 1 on.
 func (d Decision) Attempt() int { return d.attempt }
 
@@ -135,11 +140,12 @@
 	AttemptInterrupted                          // the answer was cut short after a part was sent to the caller
 	AttemptCallerGone                           // the caller disconnected or its deadline passed
 	AttemptNoSlot                               // no slot could be reserved; nothing was sent
+	AttemptUnrecorded                           // the version could not be recorded in time; nothing was sent
 )
 
 // String returns the name used in logs and metrics.
 func (s AttemptStatus) String() string {
-	names := [...]string{"unknown", "answered", "unreachable", "not run", "lost", "broken", "gone", "no slot"}
+	names := [...]string{"unknown", "answered", "unreachable", "not run", "lost", "broken", "gone", "no slot", "not recorded"}
 	if int(s) >= len(names) {
 		return names[0]
 	}
@@ -206,6 +212,8 @@
 	backend         string             // of the current attempt
 	incarnation     uint64             // of the server of the current attempt
 	version         string             // software version of the server of the current attempt
+	recording       bool               // the version of the current attempt's server is recorded
+	recorded        []string           // versions that earlier attempts recorded as the one that begins the answer
 	stream          streamOrigin       // of the answer, once a part of it was sent to the caller
 	answerBegan     bool               // a part of the answer's body arrived
 	believedCrashed bool               // the server was believed to have crashed when the attempt started
--- a/core/entry/stream_test.go
+++ b/core/entry/stream_test.go
@@ -144,3 +144,63 @@
 		})
 	}
 }
+
+// TestLaterVersionNeedsRecord guards against streams that are concluded to have begun on the
+// earlier version, because the entry that began them on the later one had no contact to the
+// instances that keep records.
+func TestLaterVersionNeedsRecord(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		versions    []string // of the servers
+		use         stream.VersionUse
+		resumable   bool
+		first       bool          // whether the record must be confirmed before the first attempt is sent
+		ended       AttemptStatus // of the first attempt
+		second      []string      // versions that may get the second attempt
+		secondFirst bool          // the same for the second attempt
+	}{
+		{"later version, recorded and lost", []string{"v2"}, stream.NewVersionUse(true, "v2"), true, true, AttemptLost, []string{"v1", "v2"}, true},
+		{"later version, not recorded", []string{"v2"}, stream.NewVersionUse(true, "v2"), true, true, AttemptUnrecorded, []string{"v1"}, false},
+		{"earlier version", []string{"v1"}, stream.NewVersionUse(true, "v2"), true, false, AttemptUnreachable, []string{"v1", "v2"}, true},
+		{"no later version", []string{"v2"}, stream.NewVersionUse(true), true, false, AttemptUnreachable, []string{"v1", "v2"}, true},
+		{"stream that cannot be taken up", []string{"v2"}, stream.NewVersionUse(true, "v2"), false, false, AttemptUnreachable, []string{"v1", "v2"}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := make(map[string]bool)
+			for seed := range uint64(60) {
+				now := time.Unix(1000, 0)
+				servers := directory.New(1)
+				announce := func(id, version string) {
+					servers.Announce(now, member.NewBackend(id, id+":1", "z", member.ProtocolEngine, 8, 1, 1, member.WithServices("s"), member.WithVersion(version)))
+				}
+				for i, version := range test.versions {
+					announce(fmt.Sprint("first", i), version)
+				}
+				w := New("z", func() *cluster.Snapshot {
+					return cluster.NewSnapshot(nil, servers.Servers(now), cluster.Loads{}).WithVersions("s", test.use)
+				}, WithSeed(seed))
+				var last Decision
+				r := NewRequest("r", "s", true, test.resumable, 3, now, now.Add(5*time.Second))
+				w.Step(now, []Input{Submit(r, progress.New(), func(d Decision) { last = d }, func() {})})
+				c.Assert(last.Action(), qt.Equals, ActionSend)
+				c.Assert(last.RecordFirst(), qt.Equals, test.first)
+				firstVersion := last.Backend().Version()
+				for i := range 2 {
+					announce(fmt.Sprint("v1", i), "v1")
+					announce(fmt.Sprint("v2", i), "v2")
+				}
+				w.Step(now, []Input{AttemptEnded(last.Number(), test.ended, LoadReport{})})
+				c.Assert(last.Action(), qt.Equals, ActionSend)
+				got[last.Backend().Version()] = true
+				if version := last.Backend().Version(); version != firstVersion {
+					c.Assert(last.RecordFirst(), qt.Equals, test.secondFirst, qt.Commentf("second attempt at %s", version))
+				}
+			}
+			c.Assert(got, qt.HasLen, len(test.second), qt.Commentf("%v", got))
+			for _, version := range test.second {
+				c.Check(got[version], qt.IsTrue, qt.Commentf("version %q", version))
+			}
+		})
+	}
+}
--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -56,6 +56,9 @@
 		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) || !row.stream.continuesOn(s.Backend()) {
 			continue
 		}
+		if now.Before(w.unrecordedUntil) && w.needsRecord(row, s.Backend().Version()) {
+			continue
+		}
 		if w.saidLeaving(s.Backend()) || !w.hasRoom(now, s.Backend(), row.startedAttempts > 0) {
 			continue
 		}
--- a/core/entry/system_dispatch.go
+++ b/core/entry/system_dispatch.go
@@ -78,8 +78,9 @@
 	event.AttemptStarted.Log(w.logger, "request", row.request.id, "backend", backend.ID(), "version", backend.Version(), "attempt", len(row.tried)+1,
 		"reserve", reserve, "in_flight", server.inFlight, "others", choice.online, "batch", choice.batch, "candidates", choice.candidates,
 		"list_ms", w.snapshot().Staleness().Milliseconds(), "limit", limit.PerSecond(), "sent_4s", sent.Burst(), "sent_12s", sent.Sustained())
+	row.recording = w.mustRecord(row)
 	row.decide(Decision{action: ActionSend, number: number, backend: backend, reserve: reserve,
-		record: w.mustRecord(row), attempt: len(row.tried) + 1})
+		record: row.recording, recordFirst: w.mustRecordFirst(row), attempt: len(row.tried) + 1})
 }
 
 // Times after which a caller may retry a rejected request.
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -38,6 +38,8 @@
 		return
 	case AttemptNoSlot:
 		row.rejections++
+	case AttemptUnrecorded:
+		w.unrecordedUntil = now.Add(unrecordedPause)
 	case AttemptLost, AttemptInterrupted:
 		row.startedAttempts++
 		if input.status == AttemptInterrupted {
@@ -50,6 +52,9 @@
 			return
 		}
 	}
+	if row.recording && input.status != AttemptNoSlot && input.status != AttemptUnrecorded {
+		row.recorded = append(row.recorded, row.version)
+	}
 	row.tried = append(row.tried, row.backend)
 	row.backend = ""
 	w.dispatch(now, input.number, row)
--- a/core/entry/system_stream.go
+++ b/core/entry/system_stream.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"papayaquay/core/event"
@@ -18,6 +19,26 @@
 	return row.request.resumable && !row.stream.known && w.snapshot().Versions(row.request.service).Mixed()
 }
 
+// unrecordedPause is how long servers are not used whose streams must be recorded, after a record
+// was not confirmed.
+const unrecordedPause = time.Second
+
+// mustRecordFirst reports whether the current attempt may be sent only when its record is
+// confirmed: because of the server's version, or because a record of an earlier attempt names
+// another one.
+func (w *World) mustRecordFirst(row *requestRow) bool {
+	if !row.recording {
+		return false
+	}
+	return w.needsRecord(row, row.version) || slices.ContainsFunc(row.recorded, func(v string) bool { return v != row.version })
+}
+
+// needsRecord reports whether servers of a version may begin the answer to a request only when
+// that is recorded.
+func (w *World) needsRecord(row *requestRow, version string) bool {
+	return row.request.resumable && !row.stream.known && w.snapshot().Versions(row.request.service).MustRecord(version)
+}
+
 // keepOrigin keeps which version begins the answer, for callers that take it up again here.
 func (w *World) keepOrigin(now time.Time, row *requestRow) {
 	if !row.request.resumable || row.stream.known {
@@ -38,8 +59,8 @@
 		return
 	}
 	id := stream.NewID(row.request.begunBy)
-	if version, ok := w.began.Find(now, id); ok {
-		w.originFound(now, number, stream.NewAnswer(stream.Recorded, version))
+	if r, ok := w.began.Find(now, id); ok {
+		w.originFound(now, number, r.Answer())
 		return
 	}
 	w.findStream(number, stream.NewQuery(id, row.request.service))
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -49,6 +49,7 @@
 
 	requests           *table.Table[uint64, requestRow]
 	began              *stream.Records // streams whose answers began here, while several versions were in use
+	unrecordedUntil    time.Time       // until when no records of streams are expected to be confirmed
 	servers            *table.Table[string, serverRow]
 	crashChecks        *table.Table[quarantine.CrashID, crashCheckRow]
 	lastNumber         uint64
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -79,7 +79,7 @@
 	StreamTakenUp              = Event{409, slog.LevelInfo, "a caller takes up a stream"}
 	RequestEnded               = Event{410, slog.LevelInfo, "a request ended"}
 	AttemptStarted             = Event{411, slog.LevelInfo, "an attempt of a request started"}
-	StreamNotRecorded          = Event{412, slog.LevelWarn, "an answer began before its software version was recorded"}
+	StreamNotRecorded          = Event{412, slog.LevelWarn, "the software version of a stream was not recorded in time"}
 	ItemAttemptEnded           = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
 	ItemPreempted              = Event{421, slog.LevelInfo, "a batch item was preempted by an online request"}
 	JobAbandoned               = Event{422, slog.LevelWarn, "the waiting items of a job were abandoned"}
--- a/core/stream/history.go
+++ b/core/stream/history.go
@@ -10,17 +10,28 @@
 // settleTime is the time after the start of an instance in which it may not know all servers.
 const settleTime = 5 * time.Second
 
-// VersionUse says whether servers of one or of several software versions run a service.
-type VersionUse struct{ mixed bool }
+// VersionUse says which software versions of a service's servers take requests.
+type VersionUse struct {
+	mixed bool
+	later []string // versions that came while another one was in use
+}
 
-// NewVersionUse returns the use of versions. mixed says that there are several, or may be.
-func NewVersionUse(mixed bool) VersionUse { return VersionUse{mixed: mixed} }
+// NewVersionUse returns the use of versions. mixed says that there are several, or may be;
+// later are those that came lately while another one was in use.
+func NewVersionUse(mixed bool, later ...string) VersionUse {
+	return VersionUse{mixed: mixed, later: later}
+}
 
 // Mixed reports whether servers of several versions took requests lately, or may have:
 // streams that begin now must be recorded. It says only what this instance was told last, so
 // it must not decide where a stream goes on that another instance may have begun.
 func (u VersionUse) Mixed() bool { return u.mixed }
 
+// MustRecord reports whether a stream may begin on servers of a version only when it is
+// recorded. Other instances conclude that a stream without a record began on the version that
+// was in use before.
+func (u VersionUse) MustRecord(version string) bool { return slices.Contains(u.later, version) }
+
 // versionKey is a software version of a service's servers.
 type versionKey struct {
 	service string
@@ -76,11 +87,31 @@
 			return
 		}
 		recent := h.recent(now, key.service, 2*Retention)
-		use[key.service] = NewVersionUse(len(recent) != 1 || now.Sub(h.startedAt) < settleTime)
+		mixed := len(recent) != 1 || now.Sub(h.startedAt) < settleTime
+		use[key.service] = NewVersionUse(mixed, laterVersions(now, recent)...)
 	})
 	return use
 }
 
+// laterTime is the time after its first server in which a version counts as a later one. It is
+// longer than Retention, since other instances may learn of it later.
+const laterTime = Retention + 2*settleTime
+
+// laterVersions returns the versions that came within laterTime, while an earlier one was in
+// use that still is. Other instances conclude the earlier version of streams without a record.
+func laterVersions(now time.Time, recent []recentVersion) []string {
+	var later []string
+	for _, v := range recent {
+		hasEarlier := slices.ContainsFunc(recent, func(earlier recentVersion) bool {
+			return v.firstSeen.Sub(earlier.firstSeen) >= settleTime && now.Sub(earlier.lastSeen) < settleTime
+		})
+		if hasEarlier && now.Sub(v.firstSeen) < laterTime {
+			later = append(later, v.version)
+		}
+	}
+	return later
+}
+
 // Unrecorded returns which version began a stream that is not recorded: the only one of the
 // time in which a stream needed no record.
 func (h *History) Unrecorded(now time.Time, service string) Answer {
@@ -110,10 +141,11 @@
 	return h.Unrecorded(now, service)
 }
 
-// recentVersion is a version and when its first server was seen.
+// recentVersion is a version, when its first server was seen, and when one took requests last.
 type recentVersion struct {
 	version   string
 	firstSeen time.Time
+	lastSeen  time.Time
 }
 
 // recent returns the versions of a service that took requests within a time, the one first
@@ -122,7 +154,7 @@
 	var versions []recentVersion
 	h.rows.Each(func(key versionKey, row *versionRow) {
 		if key.service == service && now.Sub(row.lastSeen) <= within {
-			versions = append(versions, recentVersion{version: key.version, firstSeen: row.firstSeen})
+			versions = append(versions, recentVersion{version: key.version, firstSeen: row.firstSeen, lastSeen: row.lastSeen})
 		}
 	})
 	slices.SortFunc(versions, func(a, b recentVersion) int { return a.firstSeen.Compare(b.firstSeen) })
--- a/core/stream/message.go
+++ b/core/stream/message.go
@@ -43,6 +43,7 @@
 type Answer struct {
 	certainty Certainty
 	version   string
+	attempt   int // of the record
 }
 
 // NewAnswer returns an answer.
@@ -50,31 +51,55 @@
 	return Answer{certainty: certainty, version: version}
 }
 
+// WithAttempt returns the answer with the number of the recorded attempt.
+func (a Answer) WithAttempt(attempt int) Answer {
+	a.attempt = attempt
+	return a
+}
+
+// Attempt returns the number of the recorded attempt.
+func (a Answer) Attempt() int { return a.attempt }
+
 // Certainty returns how the instance knows the version.
 func (a Answer) Certainty() Certainty { return a.certainty }
 
 // Version returns the version.
 func (a Answer) Version() string { return a.version }
 
+// maxCopies bounds the number of instances that must have a record.
+const maxCopies = 4
+
+// Copies returns how many of the instances that keep records must have one before its stream
+// may begin, if others could conclude another version without it.
+func Copies(instances int) int { return min(instances/2+1, maxCopies) }
+
+// AnswersNeeded returns how many instances must answer so that at least one of them has a
+// record of which there are Copies.
+func AnswersNeeded(instances int) int { return max(instances-Copies(instances)+1, 1) }
+
 // Conclude returns the version that began a stream, given the answers of the instances that
-// keep records. A record counts whoever has it. Without one, the version must follow from
-// what at least one instance knows, no other one may contradict, and at most one instance
-// may not have answered: each record is sent to two.
+// keep records. A record counts whoever has it; of several, that of the latest attempt. Without
+// one, at least AnswersNeeded must have deduced the version, and none may contradict.
 func Conclude(answers []Answer, instances int) Answer {
-	deduced, contradicted := Answer{}, false
+	var recorded, deduced Answer
+	deductions, contradicted := 0, false
 	for _, a := range answers {
-		switch {
-		case a.certainty == Recorded:
-			return a
-		case a.certainty == Ambiguous:
-			contradicted = true
-		case a.certainty == Deduced && deduced.certainty == Unknown:
-			deduced = a
-		case a.certainty == Deduced && a.version != deduced.version:
+		switch a.certainty {
+		case Recorded:
+			if recorded.certainty == Unknown || a.attempt > recorded.attempt {
+				recorded = a
+			}
+		case Ambiguous:
 			contradicted = true
+		case Deduced:
+			contradicted = contradicted || (deductions > 0 && a.version != deduced.version)
+			deduced, deductions = a, deductions+1
 		}
 	}
-	if contradicted || len(answers) < max(instances-1, 1) {
+	switch {
+	case recorded.certainty == Recorded:
+		return recorded
+	case contradicted || deductions < AnswersNeeded(instances):
 		return Answer{}
 	}
 	return deduced
--- a/core/stream/record.go
+++ b/core/stream/record.go
@@ -44,6 +44,9 @@
 // Version returns the software version of the attempt's server.
 func (r Record) Version() string { return r.version }
 
+// Answer returns what the record tells of the stream.
+func (r Record) Answer() Answer { return NewAnswer(Recorded, r.version).WithAttempt(r.attempt) }
+
 // recordRow is a record and its age.
 type recordRow struct {
 	record     Record
@@ -75,13 +78,13 @@
 	t.queue = append(t.queue, queuedID{id: r.id, at: now})
 }
 
-// Find returns the version that began a stream.
-func (t *Records) Find(now time.Time, id ID) (version string, ok bool) {
+// Find returns the newest record of a stream.
+func (t *Records) Find(now time.Time, id ID) (r Record, ok bool) {
 	row := t.rows.Get(id)
 	if row == nil || now.Sub(row.recordedAt) > Retention {
-		return "", false
+		return Record{}, false
 	}
-	return row.record.version, true
+	return row.record, true
 }
 
 // Len returns the number of records.
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -31,9 +31,9 @@
 			for _, r := range test.records {
 				records.Add(now, r)
 			}
-			version, found := records.Find(now.Add(test.age), 1)
-			c.Check(found, qt.Equals, test.found)
-			c.Check(version, qt.Equals, test.want)
+			found, ok := records.Find(now.Add(test.age), 1)
+			c.Check(ok, qt.Equals, test.found)
+			c.Check(found.Version(), qt.Equals, test.want)
 		})
 	}
 }
@@ -66,18 +66,20 @@
 		uses       []use
 		mixed      bool
 		unrecorded string // empty if uncertain
+		later      string // version whose streams must be recorded, empty if none
 	}{
-		{"one version", now, []use{{"v1", 0, now}}, false, "v1"},
-		{"one version, instance started just now", settleTime - 1, []use{{"v1", 0, settleTime}}, true, ""},
-		{"one version, instance started lately", Retention - 1, []use{{"v1", 0, Retention}}, false, "v1"},
-		{"two versions, instance started lately", Retention - 1, []use{{"v1", 0, Retention}, {"v2", 10 * time.Second, Retention}}, true, ""},
-		{"a second version since a second", now, []use{{"v1", 0, now}, {"v2", now - time.Second, now}}, true, "v1"},
-		{"a second version for longer than streams last", now, []use{{"v1", 0, now}, {"v2", now - Retention, now}}, true, ""},
-		{"both known from the start", now, []use{{"v1", 0, now}, {"v2", 0, now}}, true, ""},
-		{"the first version has left lately", now, []use{{"v1", 0, now - time.Second}, {"v2", now - 10*time.Second, now}}, true, "v1"},
-		{"the first version has left before any stream that lasts", now, []use{{"v1", 0, now - Retention - time.Second}, {"v2", now - 50*time.Second, now}}, true, "v2"},
-		{"the first version is forgotten", 3 * now, []use{{"v1", 0, now}, {"v2", now, 3 * now}}, false, "v2"},
-		{"three versions", now, []use{{"v1", 0, now}, {"v2", now - 10*time.Second, now}, {"v3", now - time.Second, now}}, true, "v1"},
+		{"one version", now, []use{{"v1", 0, now}}, false, "v1", ""},
+		{"one version, instance started just now", settleTime - 1, []use{{"v1", 0, settleTime}}, true, "", ""},
+		{"one version, instance started lately", Retention - 1, []use{{"v1", 0, Retention}}, false, "v1", ""},
+		{"two versions, instance started lately", Retention - 1, []use{{"v1", 0, Retention}, {"v2", 10 * time.Second, Retention}}, true, "", "v2"},
+		{"a second version since a second", now, []use{{"v1", 0, now}, {"v2", now - time.Second, now}}, true, "v1", "v2"},
+		{"a second version for longer than streams last", now, []use{{"v1", 0, now}, {"v2", now - Retention, now}}, true, "", "v2"},
+		{"both known from the start", now, []use{{"v1", 0, now}, {"v2", 0, now}}, true, "", ""},
+		{"the first version has left lately", now, []use{{"v1", 0, now - time.Second}, {"v2", now - 10*time.Second, now}}, true, "v1", "v2"},
+		{"the first version has left before any stream that lasts", now, []use{{"v1", 0, now - Retention - time.Second}, {"v2", now - 50*time.Second, now}}, true, "v2", ""},
+		{"a second version for long enough that all know it", now, []use{{"v1", 0, now}, {"v2", now - laterTime, now}}, true, "", ""},
+		{"the first version is forgotten", 3 * now, []use{{"v1", 0, now}, {"v2", now, 3 * now}}, false, "v2", ""},
+		{"three versions", now, []use{{"v1", 0, now}, {"v2", now - 10*time.Second, now}, {"v3", now - time.Second, now}}, true, "v1", "v2"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -95,10 +97,22 @@
 			answer := h.Unrecorded(start.Add(test.now), "s")
 			c.Check(answer.Certainty() == Deduced, qt.Equals, test.unrecorded != "")
 			c.Check(answer.Version(), qt.Equals, test.unrecorded)
+			for _, version := range []string{"v1", "v2"} {
+				c.Check(h.InUse(start.Add(test.now))["s"].MustRecord(version), qt.Equals, version == test.later, qt.Commentf(version))
+			}
 		})
 	}
 }
 
+// TestCopies checks that any instances which are enough for a conclusion include one with a record.
+func TestCopies(t *testing.T) {
+	for instances := 1; instances < 40; instances++ {
+		copies, answers := Copies(instances), AnswersNeeded(instances)
+		qt.Assert(t, copies+answers > instances, qt.IsTrue, qt.Commentf("%d instances", instances))
+		qt.Assert(t, copies <= instances && answers <= instances, qt.IsTrue, qt.Commentf("%d instances", instances))
+	}
+}
+
 // TestConclude checks which version follows from the answers of several instances.
 func TestConclude(t *testing.T) {
 	unknown, recorded, deduced := Answer{}, NewAnswer(Recorded, "v1"), NewAnswer(Deduced, "v2")
@@ -117,6 +131,11 @@
 		{"one does not know", []Answer{deduced, unknown, deduced}, 3, deduced},
 		{"deductions differ", []Answer{deduced, NewAnswer(Deduced, "v3")}, 2, unknown},
 		{"the only instance deduces", []Answer{deduced}, 1, deduced},
+		{"two of five are down", []Answer{deduced, deduced, deduced}, 5, deduced},
+		{"three of five are down", []Answer{deduced, deduced}, 5, unknown},
+		{"two of six are down", []Answer{deduced, deduced, deduced, deduced}, 6, deduced},
+		{"one of three is down and one does not know", []Answer{deduced, unknown}, 3, unknown},
+		{"records of two attempts", []Answer{recorded.WithAttempt(1), NewAnswer(Recorded, "v2").WithAttempt(2)}, 3, NewAnswer(Recorded, "v2").WithAttempt(2)},
 		{"one knows that several versions are possible", []Answer{deduced, deduced, NewAnswer(Ambiguous, "")}, 3, unknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -117,7 +117,13 @@
 		slot = reservation.Slot()
 	}
 	recorded := p.recordStream(request, d)
-	relay.Hold(func(ctx context.Context) bool { return p.mayBegin(ctx, d, recorded) })
+	if d.RecordFirst() && !p.awaitRecord(ctx, request, d, recorded) {
+		if ctx.Err() != nil {
+			return entry.AttemptCallerGone, entry.LoadReport{}
+		}
+		return entry.AttemptUnrecorded, entry.LoadReport{}
+	}
+	relay.Hold(func(ctx context.Context) bool { return p.mayBegin(ctx, request, d, recorded) })
 	return relay.Try(ctx, d.Backend(), slot, func(l entry.LoadReport) { p.traffic.Post(entry.HeaderReceived(d.Number(), l)) },
 		func() { p.traffic.Post(entry.AnswerBegan(d.Number())) })
 }
--- a/io/fleet/stream.go
+++ b/io/fleet/stream.go
@@ -10,12 +10,12 @@
 	"papayaquay/core/stream"
 )
 
-// maxRecordWait bounds the time for which the first part of an answer waits until its version
-// is recorded. An instance without contact to control instances serves nevertheless.
+// maxRecordWait bounds the time for which a request, or the first part of its answer, waits until
+// the version is recorded.
 const maxRecordWait = 150 * time.Millisecond
 
-// recordStream records the version of the server of an attempt, if the decision says so, while
-// the server works on the request. The channel is closed when it is recorded.
+// recordStream records the version of the server of an attempt, if the decision says so. The
+// channel is closed when it is recorded.
 func (p *Process) recordStream(request entry.Request, d entry.Decision) <-chan struct{} {
 	recorded := make(chan struct{})
 	if !d.Record() {
@@ -23,22 +23,34 @@
 		return recorded
 	}
 	record := stream.NewRecord(stream.NewID(request.ID()), d.Attempt(), d.Backend().Version())
-	p.inbox.Post(cluster.RecordStream(record, func() { close(recorded) }))
+	p.inbox.Post(cluster.RecordStream(record, d.RecordFirst(), func() { close(recorded) }))
 	return recorded
 }
 
-// mayBegin reports whether the answer of a server may reach the caller. It waits until the
-// version is recorded. A server that was started again since the choice may have another
-// version.
-func (p *Process) mayBegin(ctx context.Context, d entry.Decision, recorded <-chan struct{}) bool {
+// awaitRecord waits until the version is recorded, for maxRecordWait at most, and reports
+// whether it is.
+func (p *Process) awaitRecord(ctx context.Context, request entry.Request, d entry.Decision, recorded <-chan struct{}) bool {
 	timer := time.NewTimer(maxRecordWait)
 	defer timer.Stop()
 	select {
 	case <-recorded:
+		return true
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
-		event.StreamNotRecorded.Log(p.logger, "backend", d.Backend().ID(), "version", d.Backend().Version(), "attempt", d.Attempt())
+		event.StreamNotRecorded.Log(p.logger, "request", request.ID(), "backend", d.Backend().ID(), "version", d.Backend().Version(),
+			"attempt", d.Attempt(), "required", d.RecordFirst())
+		return false
+	}
+}
+
+// mayBegin reports whether the answer of a server may reach the caller. It waits until the
+// version is recorded; an instance without contact to control instances serves
+// nevertheless, unless the record was required before the request was sent. A server that was
+// started again since the choice may have another version.
+func (p *Process) mayBegin(ctx context.Context, request entry.Request, d entry.Decision, recorded <-chan struct{}) bool {
+	if !p.awaitRecord(ctx, request, d, recorded) && ctx.Err() != nil {
+		return false
 	}
 	for _, s := range p.snapshot.Load().Servers() {
 		if s.Backend().ID() == d.Backend().ID() && s.Backend().Incarnation() > d.Backend().Incarnation() {
--- a/io/record/stream.go
+++ b/io/record/stream.go
@@ -63,11 +63,12 @@
 	_         struct{} `cbor:",toarray"`
 	Certainty uint8
 	Version   string
+	Attempt   int
 }
 
 // encodeStreamAnswer encodes the answer to a query.
 func encodeStreamAnswer(a stream.Answer) ([]byte, error) {
-	data, err := cbor.Marshal(streamAnswer{Certainty: uint8(a.Certainty()), Version: a.Version()})
+	data, err := cbor.Marshal(streamAnswer{Certainty: uint8(a.Certainty()), Version: a.Version(), Attempt: a.Attempt()})
 	return data, errors.Wrap(err, "encode stream answer")
 }
 
@@ -75,5 +76,5 @@
 func decodeStreamAnswer(data []byte) (stream.Answer, error) {
 	var wire streamAnswer
 	err := Decode(data, &wire)
-	return stream.NewAnswer(stream.Certainty(wire.Certainty), wire.Version), err
+	return stream.NewAnswer(stream.Certainty(wire.Certainty), wire.Version).WithAttempt(wire.Attempt), err
 }
