Close a connection on which an item got no complete answer

Cause: all runs of an item have the same id. A server wrote the answer of 500 once more, late, and it passed for the answer of the next run on the same connection, which was kept. Ruled out: the count of failures in core/runner.

Change: the connection is closed unless the item's answer was a complete stream. Refusals are treated alike: their copy counted as a refusal while the server ran the item.

--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -24,9 +24,9 @@
 
 // Collect runs a request on one server and collects the data of the events after
 // the one with the id lastEvent, separated by line feeds. It increments counter
-// at each read that completes an event, passes the load report of an answer to onHeader and partial outputs to partial. It returns the status of
-// the attempt, the text after the last partial output and the id of the newest
-// event.
+// at each read that completes an event, passes the load report of an answer to onHeader and
+// partial outputs to partial. It returns the status of the attempt, the text after the last
+// partial output and the id of the newest event.
 func (c *Client) Collect(ctx context.Context, r Request, b member.Backend, lastEvent uint64, counter *progress.Counter, onHeader func(entry.LoadReport), partial func(text []byte, lastEvent uint64)) (runner.AttemptStatus, []byte, uint64) {
 	resp, sent := c.send(ctx, r, b, lastEvent, "")
 	switch {
@@ -42,19 +42,9 @@
 	if resp.header.notRun || resp.header.matchesRequest {
 		onHeader(resp.header.load)
 	}
-	switch {
-	case resp.header.notRun:
-		drainBody(resp.response.Body)
-		return runner.AttemptNotRun, nil, lastEvent
-	case !resp.header.matchesRequest:
+	if resp.response.StatusCode != http.StatusOK || resp.header.notRun || !resp.header.matchesRequest {
 		resp.closeConnection()
-		return runner.AttemptInterrupted, nil, lastEvent
-	case resp.response.StatusCode == http.StatusUnprocessableEntity:
-		drainBody(resp.response.Body)
-		return runner.AttemptRejected, nil, lastEvent
-	case resp.response.StatusCode != http.StatusOK:
-		drainBody(resp.response.Body)
-		return runner.AttemptFailed, nil, lastEvent
+		return unansweredStatus(resp), nil, lastEvent
 	}
 	meter := newAnswerMeter(resp.response, maxItemBytes)
 	meter.events = true
@@ -70,6 +60,22 @@
 	return runner.AttemptInterrupted, text, newLastEvent
 }
 
+// unansweredStatus returns the status of an attempt whose response is no answer with events. The
+// item may be sent again, with the same id, and the server may write this response once more.
+// That passes for the response to the next attempt if it comes on the same connection, so
+// the connection must be closed.
+func unansweredStatus(resp *backendResponse) runner.AttemptStatus {
+	switch {
+	case resp.header.notRun:
+		return runner.AttemptNotRun
+	case !resp.header.matchesRequest:
+		return runner.AttemptInterrupted
+	case resp.response.StatusCode == http.StatusUnprocessableEntity:
+		return runner.AttemptRejected
+	}
+	return runner.AttemptFailed
+}
+
 // collectEvents reads events until the body ends. The error is io.EOF when the
 // body is complete and ends with a whole event, and errEndless when it is too long.
 func collectEvents(ctx context.Context, body io.Reader, meter *answerMeter, lastEvent uint64, counter *progress.Counter, partial func(text []byte, lastEvent uint64)) ([]byte, uint64, error) {
