Count events of a stream for the next attempt only once they were sent

Cause: an attempt whose answer was withheld just before its first event, because its server turned out to have been started again or because the attempt was abandoned, had already moved the place at which the next attempt goes on. Ruled out: losses between entry and caller (a failed write ends the request), and servers that go on elsewhere (checked once a part was sent).

Change: the ids of events are read after they were sent. Events 413 and 414 say that an answer was withheld, and after which event an attempt goes on; without them the logs did not tell the hypotheses apart.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -80,6 +80,8 @@
 	RequestEnded               = Event{410, slog.LevelInfo, "a request ended"}
 	AttemptStarted             = Event{411, slog.LevelInfo, "an attempt of a request started"}
 	StreamNotRecorded          = Event{412, slog.LevelWarn, "the software version of a stream was not recorded in time"}
+	AnswerWithheld             = Event{413, slog.LevelInfo, "an answer was withheld because its server was started again"}
+	AttemptResumes             = Event{414, slog.LevelInfo, "an attempt goes on after the events that were sent to the caller"}
 	ItemAttemptEnded           = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
 	ItemPreempted              = Event{421, slog.LevelInfo, "a batch item was preempted by an online request"}
 	JobAbandoned               = Event{422, slog.LevelWarn, "the waiting items of a job were abandoned"}
@@ -111,7 +113,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
-		RequestEnded, AttemptStarted, StreamNotRecorded, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted,
+		RequestEnded, AttemptStarted, StreamNotRecorded, AnswerWithheld, AttemptResumes, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
 	}
--- a/io/fleet/stream.go
+++ b/io/fleet/stream.go
@@ -54,6 +54,8 @@
 	}
 	for _, s := range p.snapshot.Load().Servers() {
 		if s.Backend().ID() == d.Backend().ID() && s.Backend().Incarnation() > d.Backend().Incarnation() {
+			event.AnswerWithheld.Log(p.logger, "request", request.ID(), "backend", d.Backend().ID(), "attempt", d.Attempt(),
+				"chosen", d.Backend().Incarnation(), "known", s.Backend().Incarnation())
 			return false
 		}
 	}
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -229,6 +229,49 @@
 	}
 }
 
+// TestAttemptAfterHeldAnswer guards against answers without their first events: an attempt whose
+// answer was not allowed to reach the caller must not move the place at which the next one goes on.
+func TestAttemptAfterHeldAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		begun  string // answer of an earlier attempt, of which a part was sent; empty for none
+		held   string // answer that is not allowed
+		resume string // event after which the next server is asked to go on
+		want   string
+	}{
+		{"nothing was sent before", "", chunk(events(1, 2)), "", events(1, 3)},
+		{"events were sent before", chunk(events(1, 1)), chunk(events(2, 2)), "1", events(1, 1) + events(2, 3)},
+		{"several chunks", "", chunk(events(1, 1)) + chunk(events(2, 2)), "", events(1, 3)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			recorder := httptest.NewRecorder()
+			relay := New(testCodec()).NewRelay(newRequest("POST"), recorder, true, progress.New())
+			try := func(answer string, allowed bool, ends string) (*testServer, entry.AttemptStatus) {
+				s := newTestServer(t, ends == "", okHeader+answer+ends)
+				relay.Hold(func(context.Context) bool { return allowed })
+				status, _ := relay.Try(context.Background(), s.backend(), "", func(entry.LoadReport) {}, func() {})
+				return s, status
+			}
+			if test.begun != "" {
+				_, status := try(test.begun, true, "")
+				c.Assert(status, qt.Equals, entry.AttemptInterrupted)
+			}
+			_, status := try(test.held, false, "0\r\n\r\n")
+			c.Assert(status == entry.AttemptLost || status == entry.AttemptInterrupted, qt.IsTrue)
+			rest := events(1, 3)
+			if test.resume != "" {
+				rest = events(2, 3)
+			}
+			s, status := try(chunk(rest), true, "0\r\n\r\n")
+			c.Check(status, qt.Equals, entry.AttemptAnswered)
+			c.Assert(s.requests, qt.HasLen, 1)
+			c.Check(s.requests[0].Header.Get("Resume"), qt.Equals, test.resume)
+			c.Check(recorder.Body.String(), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestTransportDoesNotResend checks that the transport does not send a request of
 // any method again when a reused connection ends before the response.
 func TestTransportDoesNotResend(t *testing.T) {
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"papayaquay/core/entry"
+	"papayaquay/core/event"
 	"papayaquay/core/member"
 	"papayaquay/core/progress"
 )
@@ -84,6 +85,9 @@
 // arrived, and onBegin when the first bytes of its body have. It returns the status of
 // the attempt and the server's load report.
 func (r *Relay) Try(ctx context.Context, b member.Backend, slot string, onHeader func(entry.LoadReport), onBegin func()) (entry.AttemptStatus, entry.LoadReport) {
+	if r.events.lastID > 0 {
+		event.AttemptResumes.Log(r.client.logger, "request", r.request.id, "backend", b.ID(), "after", r.events.lastID)
+	}
 	resp, sent := r.client.send(ctx, r.request, b, r.events.lastID, slot)
 	r.mayHaveRun = r.mayHaveRun || (sent && (resp == nil || !resp.header.notRun))
 	switch {
@@ -170,7 +174,6 @@
 				return r.brokenStatus(ctx)
 			}
 			resumes = resumes && len(chunk) == 0
-			r.events.each(chunk, func(uint64, []byte) {})
 		}
 		if resumable && len(chunk) > 0 && !r.release(ctx) {
 			return r.brokenStatus(ctx)
@@ -178,6 +181,9 @@
 		if len(chunk) > 0 && !r.write(resp, chunk) {
 			return entry.AttemptCallerGone
 		}
+		if resumable {
+			r.events.each(chunk, func(uint64, []byte) {}) // only what was sent counts for the next attempt
+		}
 		switch {
 		case err == io.EOF:
 			return r.finish(resp, resumable)
