Check that an item's answer goes on after its last event

Found while the class of missing events was searched on related paths: the answer to an earlier run of an item, which has the same id, could come where a later run expected the events after the last one, and its events were joined to the output (ORDER). Online streams check this already.

Cause: collectEvents took the first event of a resumed run as it came. Change: the run counts as interrupted if it begins elsewhere, and its connection is closed.

Tests: io/forward TestItemGoesOnAfterItsLastEvent, two of four rows failed before.

--- a/io/forward/collect.go
+++ b/io/forward/collect.go
@@ -50,6 +50,8 @@
 	meter.events = true
 	text, newLastEvent, err := collectEvents(ctx, resp.response.Body, &meter, lastEvent, counter, partial)
 	switch {
+	case errors.Is(err, errOtherEvent):
+		resp.closeConnection()
 	case errors.Is(err, errEndless):
 		c.logExceeded(r.id, resp, &meter)
 	case err == io.EOF:
@@ -76,8 +78,12 @@
 	return runner.AttemptFailed
 }
 
+// errOtherEvent is the error of an answer that does not begin with the event after the last one.
+var errOtherEvent = errors.New("the answer goes on at another event")
+
 // collectEvents reads events until the body ends. The error is io.EOF when the
-// body is complete and ends with a whole event, and errEndless when it is too long.
+// body is complete and ends with a whole event, errEndless when it is too long, and
+// errOtherEvent when it is the answer to another run of the item.
 func collectEvents(ctx context.Context, body io.Reader, meter *answerMeter, lastEvent uint64, counter *progress.Counter, partial func(text []byte, lastEvent uint64)) ([]byte, uint64, error) {
 	events := eventScanner{lastID: lastEvent}
 	reported := lastEvent
@@ -90,7 +96,11 @@
 		if meter.add(buffer[:n]); meter.exceeded() {
 			return text, events.lastID, errEndless
 		}
-		events.each(events.feed(buffer[:n]), func(_ uint64, data []byte) {
+		chunk := events.feed(buffer[:n])
+		if events.lastID == lastEvent && lastEvent > 0 && len(chunk) > 0 && !events.continuesWith(chunk) {
+			return nil, lastEvent, errOtherEvent
+		}
+		events.each(chunk, func(_ uint64, data []byte) {
 			if !first {
 				text = append(text, '\n')
 			}
--- a/io/forward/late_copy_test.go
+++ b/io/forward/late_copy_test.go
@@ -84,3 +84,31 @@
 		})
 	}
 }
+
+// TestItemGoesOnAfterItsLastEvent guards against the answer of an earlier run of an item that
+// comes where its next run expects the events after the last one.
+func TestItemGoesOnAfterItsLastEvent(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		lastEvent uint64
+		answer    string
+		status    runner.AttemptStatus
+		text      string
+	}{
+		{"next event", 2, events(3, 4), runner.AttemptDone, "d3\nd4"},
+		{"from the start", 2, events(1, 4), runner.AttemptInterrupted, ""},
+		{"an event is missing", 2, events(4, 5), runner.AttemptInterrupted, ""},
+		{"first run", 0, events(1, 2), runner.AttemptDone, "d1\nd2"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newTestServer(t, false, okHeader+chunk(test.answer)+"0\r\n\r\n")
+			status, text, last := New(testCodec()).Collect(context.Background(), newRequest("POST"), s.backend(), test.lastEvent, progress.New(), func(entry.LoadReport) {}, func([]byte, uint64) {})
+			c.Check(status, qt.Equals, test.status)
+			c.Check(string(text), qt.Equals, test.text)
+			if test.status == runner.AttemptInterrupted {
+				c.Check(last, qt.Equals, test.lastEvent)
+			}
+		})
+	}
+}
