serve: take a refusal only from the request that it names

A late copy of an earlier refusal counted as "not run" while the attempt ran (a request that must not be repeated could run twice).

Cause: refusals did not name their request. Change: their body names it (the engine protocol's error response has an id; the stand-ins send it); one without an id counts on a new connection only. Otherwise the attempt counts as lost and the connection is closed. An engine that names nothing loses attempts that it refuses on kept connections; the alternative, a new connection for each attempt, costs more.

--- a/core/traffic/input.go
+++ b/core/traffic/input.go
@@ -71,6 +71,14 @@
 	return Input{attemptEnd: &attemptEnd{attempt: attempt, failure: failure, err: err}}
 }
 
+// Failure returns how the attempt of the input failed, 0 if it did not.
+func (i Input) Failure() Failure {
+	if i.attemptEnd == nil {
+		return 0
+	}
+	return i.attemptEnd.failure
+}
+
 // AttemptEnded reports whether the input is the end of an attempt, and returns the error
 // of the attempt.
 func (i Input) AttemptEnded() (bool, error) {
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -114,12 +114,12 @@
 // it has a connection.
 func (c *Client) run(ctx context.Context, active *activeAttempt, a traffic.Attempt) {
 	defer active.cancel()
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var used atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(&info) }}
 	response, err := c.send(httptrace.WithClientTrace(ctx, trace), active.id, a)
 	if err != nil {
 		failure := traffic.FailureNotSent
-		if sent.Load() {
+		if used.Load() != nil {
 			failure = traffic.FailureConnectionLost
 		}
 		c.end(active, failure, err)
@@ -127,7 +127,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		c.endWithStatus(active, response)
+		c.endWithStatus(active, response, used.Load())
 		return
 	}
 	err = c.readEvents(active, response.Body)
@@ -152,11 +152,17 @@
 	return response, errors.Wrap(err, "send completion")
 }
 
-// endWithStatus ends an attempt whose response has an error status.
-func (c *Client) endWithStatus(active *activeAttempt, response *http.Response) {
+// endWithStatus ends an attempt whose response has an error status. A response to another request
+// says nothing about this one, which the engine may be running.
+func (c *Client) endWithStatus(active *activeAttempt, response *http.Response, used *httptrace.GotConnInfo) {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	err := errors.Newf("status %d: %s", response.StatusCode, strings.TrimSpace(string(text)))
+	var refusal ErrorResponse
+	_ = json.Unmarshal(text, &refusal) // other text names no request
 	switch {
+	case !refusal.Names(active.id, used.Reused):
+		used.Conn.Close()
+		c.end(active, traffic.FailureConnectionLost, err)
 	case response.StatusCode == http.StatusServiceUnavailable:
 		c.end(active, traffic.FailureBusy, err)
 	case response.StatusCode >= 400 && response.StatusCode < 500:
--- a/io/engine/protocol.go
+++ b/io/engine/protocol.go
@@ -34,9 +34,17 @@
 // ErrorResponse is the body of a response with an HTTP error status. Status 503 means that
 // the engine did not run the request, 4xx that it can never run it.
 type ErrorResponse struct {
+	ID    string `json:"id,omitempty"` // of the request, if it could be read
 	Error string `json:"error"`
 }
 
+// Names reports whether a response with an error status is that to the request with an id. One without
+// an id is, unless its connection had other requests: it may be an earlier one that the
+// server wrote once more.
+func (r ErrorResponse) Names(id string, connectionReused bool) bool {
+	return r.ID == id || (r.ID == "" && !connectionReused)
+}
+
 // CancelRequest cancels a request by its id.
 type CancelRequest struct {
 	ID string `json:"id"`
--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -31,12 +31,26 @@
 	Input string `json:"input"`
 }
 
-// Response is the response of a plain service.
+// Response is the response of a plain service. One with an error status names the call too, if
+// it could be read.
 type Response struct {
 	ID     string `json:"id"`
 	Output string `json:"output"`
 }
 
+// result is a decoded response.
+type result struct {
+	response Response
+	err      error // for the status, nil for 200
+}
+
+// belongsTo reports whether the response is that to the call with an id. One with an error status
+// and without an id is, unless its connection had other calls: it may be an earlier one
+// that the service wrote once more.
+func (r result) belongsTo(id string, connectionReused bool) bool {
+	return r.response.ID == id || (r.err != nil && r.response.ID == "" && !connectionReused)
+}
+
 // Errors of a call.
 var (
 	errBusy     = errors.New("service is busy, the call was not run")
@@ -83,22 +97,33 @@
 
 // run makes the call and posts its result.
 func (c *Client) run(ctx context.Context, id string, a traffic.Attempt, post func(traffic.Input)) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	call, err := c.endpoint(a.Address())
-	if err == nil {
-		var result any
-		if result, err = call(httptrace.WithClientTrace(ctx, trace), Call{ID: id, Input: a.Prompt()}); err == nil {
-			response := result.(Response)
-			if response.ID == id {
-				post(traffic.AttemptText(a.ID(), response.Output, len(strings.Fields(response.Output))))
-				post(traffic.AttemptCompleted(a.ID()))
-				return
-			}
-			err = errWrongID
-		}
+	var used atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(&info) }}
+	response, err := c.call(httptrace.WithClientTrace(ctx, trace), a.Address(), Call{ID: id, Input: a.Prompt()}, used.Load)
+	if err != nil {
+		post(traffic.AttemptFailed(a.ID(), classifyFailure(err, used.Load() != nil), err))
+		return
 	}
-	post(traffic.AttemptFailed(a.ID(), classifyFailure(err, sent.Load()), err))
+	post(traffic.AttemptText(a.ID(), response.Output, len(strings.Fields(response.Output))))
+	post(traffic.AttemptCompleted(a.ID()))
+}
+
+// call makes the call. used returns the connection that it got.
+func (c *Client) call(ctx context.Context, address string, request Call, used func() *httptrace.GotConnInfo) (Response, error) {
+	call, err := c.endpoint(address)
+	if err != nil {
+		return Response{}, err
+	}
+	decoded, err := call(ctx, request)
+	if err != nil {
+		return Response{}, err
+	}
+	r := decoded.(result)
+	if conn := used(); !r.belongsTo(request.ID, conn.Reused) {
+		conn.Conn.Close()
+		return Response{}, errWrongID
+	}
+	return r.response, r.err
 }
 
 // classifyFailure returns the kind of failure of a call with an error. sent tells whether the
@@ -126,17 +151,25 @@
 		kithttp.SetClient(c.http)).Endpoint(), nil
 }
 
-// decodeResponse decodes a service's response. A status other than 200 becomes an error.
+// decodeResponse decodes a service's response to a result.
 func decodeResponse(_ context.Context, httpResponse *http.Response) (any, error) {
+	var r result
+	err := json.NewDecoder(io.LimitReader(httpResponse.Body, maxResponseBytes)).Decode(&r.response)
+	if r.err = statusError(httpResponse.StatusCode); r.err != nil {
+		return r, nil // the text of an error may be anything
+	}
+	return r, errors.Wrap(err, "decode response")
+}
+
+// statusError returns the error for a status, nil for 200.
+func statusError(status int) error {
 	switch {
-	case httpResponse.StatusCode == http.StatusServiceUnavailable:
-		return nil, errBusy
-	case httpResponse.StatusCode >= 400 && httpResponse.StatusCode < 500:
-		return nil, errRejected
-	case httpResponse.StatusCode != http.StatusOK:
-		return nil, errFailed
+	case status == http.StatusServiceUnavailable:
+		return errBusy
+	case status >= 400 && status < 500:
+		return errRejected
+	case status != http.StatusOK:
+		return errFailed
 	}
-	var response Response
-	err := json.NewDecoder(io.LimitReader(httpResponse.Body, maxResponseBytes)).Decode(&response)
-	return response, errors.Wrap(err, "decode response")
+	return nil
 }
--- a/io/standin/engine_serve.go
+++ b/io/standin/engine_serve.go
@@ -16,11 +16,11 @@
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	var c engine.CompletionRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c); err != nil || c.ID == "" {
-		writeError(w, http.StatusBadRequest, "malformed request")
+		writeError(w, http.StatusBadRequest, "", "malformed request")
 		return
 	}
 	if e.leaving.Load() {
-		writeError(w, http.StatusServiceUnavailable, "leaving")
+		writeError(w, http.StatusServiceUnavailable, c.ID, "leaving")
 		return
 	}
 	stop := make(chan struct{})
@@ -167,7 +167,7 @@
 func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
 	var c engine.CancelRequest
 	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c) != nil {
-		writeError(w, http.StatusBadRequest, "malformed cancellation")
+		writeError(w, http.StatusBadRequest, "", "malformed cancellation")
 		return
 	}
 	e.mu.Lock()
@@ -182,7 +182,7 @@
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var o engine.Order
 	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&o) != nil {
-		writeError(w, http.StatusBadRequest, "malformed order")
+		writeError(w, http.StatusBadRequest, "", "malformed order")
 		return
 	}
 	e.mu.Lock()
@@ -190,7 +190,7 @@
 	accepted := !e.checksFence || o.Fence >= e.highestFence.Load()
 	e.recorder.addOrder(ReceivedOrder{Backend: e.id, Fence: o.Fence, Load: o.Load, Accepted: accepted})
 	if !accepted {
-		writeError(w, http.StatusConflict, "old fencing number")
+		writeError(w, http.StatusConflict, "", "old fencing number")
 		return
 	}
 	e.highestFence.Store(max(e.highestFence.Load(), o.Fence))
@@ -203,8 +203,8 @@
 	_ = json.NewEncoder(w).Encode(engine.LoadReport{Running: e.Running(), Queued: e.Queued(), Leaving: e.leaving.Load()})
 }
 
-// writeError writes a response with an error status.
-func writeError(w http.ResponseWriter, status int, reason string) {
+// writeError writes a response with an error status to the request with an id, empty if unknown.
+func writeError(w http.ResponseWriter, status int, id, reason string) {
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(engine.ErrorResponse{Error: reason})
+	_ = json.NewEncoder(w).Encode(engine.ErrorResponse{ID: id, Error: reason})
 }
--- a/io/standin/plain.go
+++ b/io/standin/plain.go
@@ -39,7 +39,7 @@
 func (p *PlainService) call(w http.ResponseWriter, r *http.Request) {
 	var c plain.Call
 	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c) != nil {
-		writeError(w, http.StatusBadRequest, "malformed call")
+		writeError(w, http.StatusBadRequest, "", "malformed call")
 		return
 	}
 	p.recorder.addAttempt(Attempt{Backend: p.id, ID: c.ID, Prompt: c.Input})
