Ignore announcements that name no service of the configuration

Cause: an announcement replaces what is known of its id by the sequence number alone. Change: control instances ignore announcements and reject leaves that name no configured service, unless the server is known to run it. Ruled out: doing it in platform/, which knows neither the directory nor decides.

--- /dev/null
+++ b/core/cluster/foreign_test.go
@@ -0,0 +1,56 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"papayaquay/core/call"
+	"papayaquay/core/member"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestForeignAnnouncement guards against announcements of another writer that hide a server: they
+// name a service that the configuration doesn't.
+func TestForeignAnnouncement(t *testing.T) {
+	server := func(id, service string, incarnation, sequence uint64, leaving bool) member.Backend {
+		return member.NewBackend(id, "b:80", "z0", member.ProtocolEngine, 8, incarnation, sequence, member.WithServices(service), member.WithLeaving(leaving))
+	}
+	for _, test := range []struct {
+		name       string
+		configured bool
+		foreign    member.Backend
+		leave      bool // it says that the server leaves
+		hidden     bool // the server is hidden until its next announcement
+	}{
+		{"higher sequence number", true, server("b", "elsewhere", 1, 4711, false), false, false},
+		{"higher incarnation", true, server("b", "elsewhere", 2, 1, false), false, false},
+		{"another server at the address", true, server("x", "elsewhere", 2, 1, false), false, false},
+		{"the server leaves", true, server("b", "elsewhere", 1, 4711, true), true, false},
+		{"own announcement, the server leaves", true, server("b", "s", 1, 4711, true), true, true},
+		{"no configuration yet", false, server("b", "elsewhere", 1, 4711, false), false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 0)
+			s.run(4 * time.Second)
+			if test.configured {
+				s.c.Assert(s.configure("c0", 3), qt.Equals, call.StatusDone)
+				s.run(time.Second)
+			}
+			s.instance("c0").inbox = append(s.instance("c0").inbox, Announce(server("b", "s", 1, 1, false)))
+			s.run(time.Second)
+			if test.leave {
+				status := s.leave("c1", test.foreign)
+				s.c.Check(status, qt.Equals, map[bool]call.Status{true: call.StatusDone, false: call.StatusRejected}[test.hidden])
+			} else {
+				s.instance("c1").inbox = append(s.instance("c1").inbox, Announce(test.foreign))
+			}
+			s.run(time.Second)
+			runs := false
+			for _, found := range s.instance("e0").snapshot.Servers() {
+				runs = runs || found.Backend().Runs("s")
+			}
+			s.c.Check(runs, qt.Equals, !test.hidden)
+		})
+	}
+}
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -1,10 +1,12 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"papayaquay/core/call"
 	"papayaquay/core/directory"
+	"papayaquay/core/event"
 	"papayaquay/core/ledger"
 	"papayaquay/core/member"
 	"papayaquay/core/registry"
@@ -70,18 +72,42 @@
 // announce records an announcement of a backend server. A late announcement must
 // not bring back a server whose leave is committed.
 func (w *World) announce(now time.Time, b member.Backend) {
+	if w.isForeign(b) {
+		event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "unknown service")
+		return
+	}
 	if w.registry != nil && w.registry.hasLeft(registry.NewLeavingBackend(b.ID(), b.Incarnation())) {
 		b = b.AsLeaving()
 	}
 	w.directory.Announce(now, b)
 }
 
+// isForeign reports whether an announcement comes from another writer than the server: it names no
+// service of the configuration, and the server is not known to run one that it names. It must
+// neither take the place of the server's own announcements nor hide another server at its
+// address.
+func (w *World) isForeign(b member.Backend) bool {
+	if w.config == nil || len(b.Services()) == 0 {
+		return false
+	}
+	known, _ := w.directory.Backend(b.ID())
+	return !slices.ContainsFunc(b.Services(), func(service string) bool {
+		_, ok := w.config.Service(service)
+		return ok || known.Runs(service)
+	})
+}
+
 // leave makes it durable that a backend server leaves; the directory records it
 // at once. If the server does not name its incarnation, the one in the directory
 // is used. If the directory does not know the server, the present time in Unix
 // milliseconds is used; it is higher than the incarnation of a server that takes
 // its start time as incarnation.
 func (w *World) leave(now time.Time, b member.Backend, reply func(call.Reply)) {
+	if w.isForeign(b) {
+		event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "unknown service")
+		reply(call.NewReply(0, call.StatusRejected, nil))
+		return
+	}
 	leaving := registry.NewLeavingBackend(b.ID(), b.Incarnation())
 	if b.Incarnation() == 0 {
 		leaving = registry.NewLeavingBackend(b.ID(), w.directory.Incarnation(b.ID(), uint64(w.wallClock().UnixMilli())))
--- a/core/directory/servers.go
+++ b/core/directory/servers.go
@@ -95,6 +95,15 @@
 	return fallback
 }
 
+// Backend returns a known backend server by its id.
+func (w *World) Backend(id string) (member.Backend, bool) {
+	row := w.backends.Get(id)
+	if row == nil {
+		return member.Backend{}, false
+	}
+	return row.backend, true
+}
+
 // EachBackend calls visit for each known backend server, also for those that take no new work.
 func (w *World) EachBackend(visit func(member.Backend)) {
 	w.backends.Each(func(_ string, row *backendRow) { visit(row.backend) })
