Send records of streams again to control instances that were restarted

Cause: the records were only in the memory of the control instances. Change: an entry keeps what it sent for 30 s, and sends it again to a control instance with another incarnation, or one that did not confirm records. Ruled out: records on disk, a commit before each first token.

--- a/core/cluster/stream_test.go
+++ b/core/cluster/stream_test.go
@@ -45,6 +45,7 @@
 		{"a control instance is down", []string{"e0", "e1"}, []string{"c0"}, stream.Recorded},
 		{"another control instance is down", []string{"e0", "e1"}, []string{"c1"}, stream.Recorded},
 		{"a control instance lost its memory", []string{"e0", "e1", "c2"}, nil, stream.Recorded},
+		{"all control instances lost their memory", []string{"c0", "c1", "c2"}, nil, stream.Recorded},
 		{"all instances lost their memory", []string{"e0", "e1", "c0", "c1", "c2"}, nil, stream.Unknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/cluster/system_stream.go
+++ b/core/cluster/system_stream.go
@@ -24,6 +24,8 @@
 	history        *stream.History
 	records        *stream.Records
 	pending        []pendingRecord // not sent yet
+	kept           []keptRecord    // sent within the last stream.Retention
+	receivers      map[string]*recordReceiver
 	observedAt     time.Time
 	observedUrgent uint64 // urgent version of the directory at observedAt
 }
@@ -37,7 +39,7 @@
 
 // newStreamKeeper returns a keeper without records.
 func newStreamKeeper(now time.Time) *streamKeeper {
-	return &streamKeeper{history: stream.NewHistory(now), records: stream.NewRecords()}
+	return &streamKeeper{history: stream.NewHistory(now), records: stream.NewRecords(), receivers: make(map[string]*recordReceiver)}
 }
 
 // runStreams updates the history of versions and sends new records.
@@ -55,6 +57,7 @@
 	if len(k.pending) > 0 {
 		w.sendRecords(now)
 	}
+	w.resendRecords(now)
 }
 
 // spareCopies is the number of instances, beyond those that must have a record, to which it is
@@ -86,6 +89,7 @@
 	records := make([]stream.Record, 0, len(pending))
 	for _, p := range pending {
 		records = append(records, p.record)
+		k.kept = append(k.kept, keptRecord{record: p.record, at: now})
 	}
 	payload, err := w.codec.StreamRecords.Encode(records)
 	if err != nil {
@@ -98,6 +102,7 @@
 		c := call.New(call.KindStreamRecords, call.TargetInstance, now.Add(streamRecordTimeout), payload, call.WithAddress(address))
 		w.calls.Start(now, c, func(reply call.Reply) {
 			if reply.Status() != call.StatusDone {
+				w.receiver(address).missed = true
 				return
 			}
 			copies++
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -82,6 +82,7 @@
 	StreamNotRecorded          = Event{412, slog.LevelWarn, "the software version of a stream was not recorded in time"}
 	AnswerWithheld             = Event{413, slog.LevelInfo, "an answer was withheld because its server was started again"}
 	AttemptResumes             = Event{414, slog.LevelInfo, "an attempt goes on after the events that were sent to the caller"}
+	StreamRecordsResent        = Event{415, slog.LevelInfo, "records of streams were sent again to a control instance"}
 	ItemAttemptEnded           = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
 	ItemPreempted              = Event{421, slog.LevelInfo, "a batch item was preempted by an online request"}
 	JobAbandoned               = Event{422, slog.LevelWarn, "the waiting items of a job were abandoned"}
@@ -113,7 +114,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
-		RequestEnded, AttemptStarted, StreamNotRecorded, AnswerWithheld, AttemptResumes, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted,
+		RequestEnded, AttemptStarted, StreamNotRecorded, AnswerWithheld, AttemptResumes, StreamRecordsResent, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
 	}
