Keep the receivers of records in a table, and log foreign announcements in one place

Cause: read as a newcomer: a map of rows beside the tables of the other parts, a flag that a failed encoding could have left set, and one log line written twice. Change: a table, a count of unanswered calls, and rejectForeign, which logs. Records are sent again to one instance every 0.5 s at most (0.25 s before), since a dead one is retried until it leaves the directory.

--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"slices"
 	"time"
 
 	"papayaquay/core/call"
@@ -72,8 +71,7 @@
 // announce records an announcement of a backend server. A late announcement must
 // not bring back a server whose leave is committed.
 func (w *World) announce(now time.Time, b member.Backend) {
-	if w.isForeign(b) {
-		event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "unknown service")
+	if w.rejectForeign(b) {
 		return
 	}
 	if w.registry != nil && w.registry.hasLeft(registry.NewLeavingBackend(b.ID(), b.Incarnation())) {
@@ -82,19 +80,22 @@
 	w.directory.Announce(now, b)
 }
 
-// isForeign reports whether an announcement comes from another writer than the server: it names no
-// service of the configuration, and the server is not known to run one that it names. It must
-// neither take the place of the server's own announcements nor hide another server at its
-// address.
-func (w *World) isForeign(b member.Backend) bool {
+// rejectForeign reports whether an announcement comes from another writer than the server, and
+// logs it: it names no service of the configuration, and the server is not known to run one that
+// it names. It must neither take the place of the server's own announcements nor hide another
+// server at its address.
+func (w *World) rejectForeign(b member.Backend) bool {
 	if w.config == nil || len(b.Services()) == 0 {
 		return false
 	}
 	known, _ := w.directory.Backend(b.ID())
-	return !slices.ContainsFunc(b.Services(), func(service string) bool {
-		_, ok := w.config.Service(service)
-		return ok || known.Runs(service)
-	})
+	for _, service := range b.Services() {
+		if _, ok := w.config.Service(service); ok || known.Runs(service) {
+			return false
+		}
+	}
+	event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "unknown service")
+	return true
 }
 
 // leave makes it durable that a backend server leaves; the directory records it
@@ -103,8 +104,7 @@
 // milliseconds is used; it is higher than the incarnation of a server that takes
 // its start time as incarnation.
 func (w *World) leave(now time.Time, b member.Backend, reply func(call.Reply)) {
-	if w.isForeign(b) {
-		event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "unknown service")
+	if w.rejectForeign(b) {
 		reply(call.NewReply(0, call.StatusRejected, nil))
 		return
 	}
--- a/core/cluster/system_resend.go
+++ b/core/cluster/system_resend.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"papayaquay/core/call"
@@ -10,7 +11,7 @@
 
 // Limits of the records that are sent again.
 const (
-	resendInterval    = 250 * time.Millisecond // between two attempts at one control instance
+	resendInterval    = 500 * time.Millisecond // between two attempts at one control instance
 	maxResentRecords  = 2000                   // in one call
 	maxKeptRecords    = 20_000
 	resendCallTimeout = time.Second
@@ -27,18 +28,16 @@
 type recordReceiver struct {
 	incarnation uint64 // to which the records were sent
 	missed      bool   // it lacks records, or may
-	sending     bool
+	unanswered  int    // calls with records that were sent again
 	triedAt     time.Time
 }
 
 // receiver returns the row of a control instance. It creates the row if there is none.
 func (w *World) receiver(address string) *recordReceiver {
-	r := w.streams.receivers[address]
-	if r == nil {
-		r = &recordReceiver{missed: true}
-		w.streams.receivers[address] = r
+	if r := w.streams.receivers.Get(address); r != nil {
+		return r
 	}
-	return r
+	return w.streams.receivers.Put(address, recordReceiver{missed: true})
 }
 
 // resendRecords sends the kept records again to the control instances that were restarted or
@@ -49,21 +48,20 @@
 	if len(k.kept) == 0 {
 		return
 	}
-	targets := w.recordTargets(w.controlInstances())
-	for _, address := range targets {
+	for _, address := range w.recordTargets(w.controlInstances()) {
 		r := w.receiver(address)
 		if instance, ok := w.directory.Instance(address); ok && instance.Incarnation() != r.incarnation {
 			r.incarnation, r.missed = instance.Incarnation(), true
 		}
-		if r.missed && !r.sending && now.Sub(r.triedAt) >= resendInterval {
+		if r.missed && r.unanswered == 0 && now.Sub(r.triedAt) >= resendInterval {
 			w.resendTo(now, address, r)
 		}
 	}
-	for address := range k.receivers {
+	k.receivers.Each(func(address string, _ *recordReceiver) {
 		if _, known := w.directory.Instance(address); !known {
-			delete(k.receivers, address)
+			k.receivers.Remove(address)
 		}
-	}
+	})
 }
 
 // removeKept removes records that are too old or too many.
@@ -75,26 +73,27 @@
 
 // resendTo sends all kept records to a control instance, in calls of bounded size.
 func (w *World) resendTo(now time.Time, address string, r *recordReceiver) {
-	r.sending, r.missed, r.triedAt = true, false, now
-	kept := w.streams.kept
-	calls := (len(kept) + maxResentRecords - 1) / maxResentRecords
-	event.StreamRecordsResent.Log(w.logger, "control", address, "records", len(kept))
-	for ; len(kept) > 0; kept = kept[min(maxResentRecords, len(kept)):] {
-		records := make([]stream.Record, 0, maxResentRecords)
-		for _, row := range kept[:min(maxResentRecords, len(kept))] {
+	r.missed, r.triedAt = false, now
+	event.StreamRecordsResent.Log(w.logger, "control", address, "records", len(w.streams.kept))
+	for part := range slices.Chunk(w.streams.kept, maxResentRecords) {
+		records := make([]stream.Record, 0, len(part))
+		for _, row := range part {
 			records = append(records, row.record)
 		}
 		payload, err := w.codec.StreamRecords.Encode(records)
 		if err != nil {
 			event.CallEncodingFailed.Log(w.logger, "call", "stream records", "to", address, "error", err)
-			r.sending = false
 			return
 		}
 		c := call.New(call.KindStreamRecords, call.TargetInstance, now.Add(resendCallTimeout), payload, call.WithAddress(address))
-		w.calls.Start(now, c, func(reply call.Reply) {
-			calls--
-			r.sending = calls > 0
-			r.missed = r.missed || reply.Status() != call.StatusDone
-		})
+		r.unanswered++
+		w.calls.Start(now, c, func(reply call.Reply) { w.resendEnded(address, reply) })
 	}
 }
+
+// resendEnded handles the reply to records that were sent again.
+func (w *World) resendEnded(address string, reply call.Reply) {
+	r := w.receiver(address)
+	r.unanswered = max(r.unanswered-1, 0)
+	r.missed = r.missed || reply.Status() != call.StatusDone
+}
--- a/core/cluster/system_stream.go
+++ b/core/cluster/system_stream.go
@@ -9,6 +9,7 @@
 	"papayaquay/core/event"
 	"papayaquay/core/member"
 	"papayaquay/core/stream"
+	"papayaquay/core/table"
 )
 
 // Timing of records of streams.
@@ -25,7 +26,7 @@
 	records        *stream.Records
 	pending        []pendingRecord // not sent yet
 	kept           []keptRecord    // sent within the last stream.Retention
-	receivers      map[string]*recordReceiver
+	receivers      *table.Table[string, recordReceiver]
 	observedAt     time.Time
 	observedUrgent uint64 // urgent version of the directory at observedAt
 }
@@ -39,7 +40,7 @@
 
 // newStreamKeeper returns a keeper without records.
 func newStreamKeeper(now time.Time) *streamKeeper {
-	return &streamKeeper{history: stream.NewHistory(now), records: stream.NewRecords(), receivers: make(map[string]*recordReceiver)}
+	return &streamKeeper{history: stream.NewHistory(now), records: stream.NewRecords(), receivers: table.New[string, recordReceiver]()}
 }
 
 // runStreams updates the history of versions and sends new records.
