Give a server whose process has ended no items until it announces a new start

Cause: the runner took the server for the process of its last report, although its port had refused connections in between. Ruled out: treating any broken connection like that (resets of links are common).

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -93,6 +93,7 @@
 	ItemAttemptStarted         = Event{427, slog.LevelInfo, "an attempt of a batch item started"}
 	JobRejected                = Event{428, slog.LevelWarn, "a job was rejected because there is no room for it"}
 	ItemRestarted              = Event{429, slog.LevelInfo, "a batch item starts again from the beginning"}
+	ServerEnded                = Event{430, slog.LevelInfo, "the process of a backend server has ended"}
 	ConfigApplied              = Event{500, slog.LevelDebug, "a configuration revision was applied"}
 )
 
@@ -114,7 +115,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
-		RequestEnded, AttemptStarted, StreamNotRecorded, AnswerWithheld, AttemptResumes, StreamRecordsResent, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted,
+		RequestEnded, AttemptStarted, StreamNotRecorded, AnswerWithheld, AttemptResumes, StreamRecordsResent, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted, ServerEnded,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
 	}
--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -18,6 +18,7 @@
 	host      string
 	item      batch.Item
 	backend   member.Backend
+	peers     []string
 	lastEvent uint64
 	counter   *progress.Counter
 }
@@ -37,6 +38,10 @@
 // Backend returns the backend server to run the item on.
 func (a Attempt) Backend() member.Backend { return a.backend }
 
+// Peers returns the addresses of other servers in the data centre of the server. If they refuse
+// connections as well, it is the link that refuses them.
+func (a Attempt) Peers() []string { return a.peers }
+
 // LastEvent returns the id of the last event received by earlier attempts, 0 for none.
 // The attempt resumes after it.
 func (a Attempt) LastEvent() uint64 { return a.lastEvent }
@@ -57,11 +62,12 @@
 	AttemptStopped                              // this instance stopped the attempt
 	AttemptPartial                              // the attempt continues and has new output
 	AttemptUnreachable                          // no connection to the server, nothing was sent
+	AttemptServerEnded                          // the server's process has ended: it refuses connections, its peers accept them
 )
 
 // String returns the name of the status in logs.
 func (s AttemptStatus) String() string {
-	names := [...]string{"unknown", "done", "not run", "failed", "impossible", "broken", "stopped", "part", "unreachable"}
+	names := [...]string{"unknown", "done", "not run", "failed", "impossible", "broken", "stopped", "part", "unreachable", "server ended"}
 	if int(s) >= len(names) {
 		return names[0]
 	}
@@ -121,6 +127,7 @@
 type runningRow struct {
 	key             itemKey
 	backend         string
+	incarnation     uint64 // of the backend server
 	version         string // of the backend server's software
 	tokens          int    // size of the item
 	started         time.Time
@@ -131,6 +138,12 @@
 	leadershipEpoch uint64 // in which the attempt started
 }
 
+// endedRow is the incarnation of a server whose process has ended.
+type endedRow struct {
+	incarnation uint64
+	until       time.Time // until when the server may still count as alive by its announcements
+}
+
 // backoffRow is the time until which a server gets no items.
 type backoffRow struct {
 	until               time.Time
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -68,7 +68,7 @@
 	free := make(map[string]int)
 	for _, s := range w.servers {
 		id := s.Backend().ID()
-		if b := w.backoffs.Get(id); s.Stale() || (b != nil && now.Before(b.until)) {
+		if b := w.backoffs.Get(id); s.Stale() || (b != nil && now.Before(b.until)) || w.hasEnded(now, s.Backend()) {
 			continue
 		}
 		headroom, pause := w.headroom(now, id)
@@ -156,12 +156,12 @@
 	lastEvent := w.lastEvent(key)
 	w.lastAttempt++
 	counter := progress.New()
-	w.running.Put(w.lastAttempt, runningRow{key: key, backend: backend.ID(), version: backend.Version(), tokens: item.Tokens(), started: now, afterEvent: lastEvent, leadershipEpoch: w.leadershipEpoch,
+	w.running.Put(w.lastAttempt, runningRow{key: key, backend: backend.ID(), incarnation: backend.Incarnation(), version: backend.Version(), tokens: item.Tokens(), started: now, afterEvent: lastEvent, leadershipEpoch: w.leadershipEpoch,
 		idleTimer: progress.NewIdleTimer(counter)})
 	w.runningItems[backend.ID()]++
 	event.ItemAttemptStarted.Log(w.logger, "job", spec.ID(), "item", i, "backend", backend.ID(), "version", backend.Version(), "tokens", item.Tokens(), "after_event", lastEvent,
 		"due_ms", row.due.Sub(now).Milliseconds(), "late", w.estimate.isLate(now, row.due, lastEvent))
-	w.startAttempt(Attempt{number: w.lastAttempt, job: spec.ID(), host: spec.Host(), item: item, backend: backend, lastEvent: lastEvent, counter: counter})
+	w.startAttempt(Attempt{number: w.lastAttempt, job: spec.ID(), host: spec.Host(), item: item, backend: backend, peers: peers(backend, w.servers, w.isHalfOpen), lastEvent: lastEvent, counter: counter})
 	return true
 }
 
--- a/core/runner/system_receive.go
+++ b/core/runner/system_receive.go
@@ -32,6 +32,7 @@
 	if row.stalled && report.status == AttemptStopped {
 		report.status = AttemptInterrupted
 	}
+	w.recordEnd(now, row, report.status)
 	w.updateBackoff(now, backend, report.status)
 	w.estimate.record(now.Sub(row.started), report.lastEvent-min(row.afterEvent, report.lastEvent), report.lastEvent, report.status == AttemptDone)
 	if job := w.jobs.Get(key.job); sameEpoch && job != nil {
@@ -45,7 +46,7 @@
 	switch status {
 	case AttemptNotRun:
 		w.backoffs.Put(backend, backoffRow{until: now.Add(notRunBackoff)})
-	case AttemptInterrupted, AttemptUnreachable:
+	case AttemptInterrupted, AttemptUnreachable, AttemptServerEnded:
 		failures := 0
 		if b := w.backoffs.Get(backend); b != nil {
 			if b.consecutiveFailures > 0 && now.Before(b.until) {
--- a/core/runner/version_test.go
+++ b/core/runner/version_test.go
@@ -77,6 +77,51 @@
 	}
 }
 
+// TestEndedServerGetsNoItems guards against items that a server continues which was started again
+// under its id with another software version, before it has announced itself.
+func TestEndedServerGetsNoItems(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		status      AttemptStatus // of the first attempt
+		incarnation uint64        // that the server announces afterwards
+		version     string
+		wait        time.Duration
+		started     bool   // whether the item is started again
+		after       uint64 // event after which it resumes
+	}{
+		{"no new announcement", AttemptServerEnded, 1, "v1", 2 * time.Second, false, 0},
+		{"only the link failed", AttemptUnreachable, 1, "v1", 2 * time.Second, true, 30},
+		{"new start, same version", AttemptServerEnded, 2, "v1", 2 * time.Second, true, 30},
+		{"new start, other version", AttemptServerEnded, 2, "v2", 2 * time.Second, true, 0},
+		{"still announces the first start much later", AttemptServerEnded, 1, "v1", endedTime, true, 30},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newTestRunner(t, 1, 0)
+			announce := func(incarnation, sequence uint64, version string) {
+				d := directory.New(1)
+				d.Announce(r.now, member.NewBackend("b", "b:1", "z", member.ProtocolEngine, 4, incarnation, sequence,
+					member.WithServices("s"), member.WithVersion(version)))
+				r.world.Update(r.world.config, d.Servers(r.now), true)
+			}
+			announce(1, 1, "v1")
+			r.tick(0)
+			r.c.Assert(r.started, qt.HasLen, 1)
+			r.report(r.started[0], AttemptPartial, "old", 30)
+			r.report(r.started[0], test.status, "", 30)
+			r.store()
+			announce(test.incarnation, 2, test.version)
+			r.tick(test.wait)
+			if !test.started {
+				r.c.Assert(r.started, qt.HasLen, 1)
+				return
+			}
+			r.c.Assert(r.started, qt.HasLen, 2)
+			r.c.Check(r.started[1].LastEvent(), qt.Equals, test.after)
+			r.c.Check(r.started[1].Backend().Version(), qt.Equals, test.version)
+		})
+	}
+}
+
 // store applies the outputs of the runner to the state of the ledger.
 func (r *testRunner) store() {
 	outputs := r.world.TakeOutputs()
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -55,6 +55,7 @@
 	progress        *table.Table[itemKey, progressRow]
 	running         *table.Table[uint64, runningRow]
 	backoffs        *table.Table[string, backoffRow]
+	ended           *table.Table[string, endedRow]  // by server
 	runningItems    map[string]int                  // by server
 	preemptedAt     *table.Table[string, time.Time] // last preemption, by server
 	outputs         []batch.ItemOutput
@@ -111,7 +112,7 @@
 		acceptedAt: make(map[string]time.Time),
 		jobs:       table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
 		running: table.New[uint64, runningRow](), backoffs: table.New[string, backoffRow](),
-		preemptedAt:  table.New[string, time.Time](),
+		preemptedAt: table.New[string, time.Time](), ended: table.New[string, endedRow](),
 		runningItems: make(map[string]int), estimate: newEstimate(),
 	}
 	for _, option := range options {
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -65,13 +65,17 @@
 			}
 			p.inbox.Post(cluster.AttemptEnded(runner.NewAttemptReport(a.Number(), status, text, last)))
 		}
-		report(p.forward.Collect(ctx, request, a.Backend(), a.LastEvent(), a.Progress(),
+		status, text, last := p.forward.Collect(ctx, request, a.Backend(), a.LastEvent(), a.Progress(),
 			func(load entry.LoadReport) {
 				p.inbox.Post(cluster.ItemAnswered(a.Backend().ID(), usage.NewLimit(load.Limit(), a.Backend().Incarnation())))
 				if load.Leaving() {
 					p.inbox.Post(cluster.ServerSaidLeaving(a.Backend().ID(), a.Backend().Incarnation()))
 				}
 			},
-			func(text []byte, last uint64) { report(runner.AttemptPartial, text, last) }))
+			func(text []byte, last uint64) { report(runner.AttemptPartial, text, last) })
+		if status == runner.AttemptUnreachable && len(a.Peers()) > 0 && p.hasEnded(ctx, a.Backend().Address(), a.Peers()) {
+			status = runner.AttemptServerEnded
+		}
+		report(status, text, last)
 	}()
 }
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -182,14 +182,16 @@
 // checkCrash tells the traffic thread whether a backend server refuses connections while
 // one of the others, if there are any, accepts them.
 func (p *Process) checkCrash(id quarantine.CrashID, address string, others []string) {
-	go func() {
-		ctx := context.Background()
-		crashed := p.forward.Refuses(ctx, address)
-		if crashed && len(others) > 0 {
-			crashed = slices.ContainsFunc(others, func(other string) bool { return p.forward.CanConnect(ctx, other) })
-		}
-		p.traffic.Post(entry.CrashChecked(id, crashed))
-	}()
+	go func() { p.traffic.Post(entry.CrashChecked(id, p.hasEnded(context.Background(), address, others))) }()
+}
+
+// hasEnded reports whether the process of a backend server has ended: it refuses connections
+// although one of the others, if there are any, accepts them.
+func (p *Process) hasEnded(ctx context.Context, address string, others []string) bool {
+	if !p.forward.Refuses(ctx, address) {
+		return false
+	}
+	return len(others) == 0 || slices.ContainsFunc(others, func(other string) bool { return p.forward.CanConnect(ctx, other) })
 }
 
 // Snapshot returns the newest snapshot of the control world.
