Attribute crashes of servers to whole requests that are sent again

Cause: only shared parts of prompts could be blamed. Change: the request as a whole, by target and body, is a candidate too, blamed last. Ruled out: blaming it first (a request with a poison part that is sent again would hide the evidence against the part), a ledger of such requests. A crash lists 32 prompts, 8 before, since they differ now.

--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -24,7 +24,7 @@
 	arrived       time.Time
 	deadline      time.Time
 	reserveTokens int
-	sharedParts   quarantine.Prompt
+	prompt        quarantine.Prompt
 	begunBy       string
 	isTakenUp     bool
 }
@@ -38,7 +38,15 @@
 
 // WithSharedParts sets the parts of the prompt that other requests share.
 func WithSharedParts(parts quarantine.Prompt) RequestOption {
-	return func(r *Request) { r.sharedParts = parts }
+	return func(r *Request) { r.prompt = append(r.prompt, parts...) }
+}
+
+// WithContent identifies the request by its target and its body, which are the same when its
+// caller sends it again.
+func WithContent(target string, body []byte) RequestOption {
+	return func(r *Request) {
+		r.prompt = append(quarantine.Prompt{quarantine.NewRequestPart(r.service, target, body)}, r.prompt...)
+	}
 }
 
 // WithBegunStream says that the request takes up a stream of which its caller has a part, and
--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -43,7 +43,7 @@
 
 // rejectQuarantined ends a request with a quarantined part and reports whether it did.
 func (w *World) rejectQuarantined(now time.Time, number uint64, row *requestRow) bool {
-	rejection, ok := w.snapshot().Quarantine().Rejects(row.request.sharedParts)
+	rejection, ok := w.snapshot().Quarantine().Rejects(row.request.prompt)
 	if !ok {
 		return false
 	}
@@ -56,7 +56,7 @@
 // suspectCrash starts a check of the server on which a request was lost. A request whose
 // answer had begun cannot have crashed it.
 func (w *World) suspectCrash(row *requestRow) {
-	if row.answerBegan || len(row.request.sharedParts) == 0 {
+	if row.answerBegan || len(row.request.prompt) == 0 {
 		return
 	}
 	id := quarantine.NewCrashID(row.backend, row.incarnation)
@@ -65,7 +65,7 @@
 		check = w.crashChecks.Put(id, crashCheckRow{})
 		w.checkCrash(id, w.server(row.backend).address, w.comparableServers(row))
 	}
-	check.suspects = append(check.suspects, row.request.sharedParts)
+	check.suspects = append(check.suspects, row.request.prompt)
 }
 
 // endCrashCheck handles the result of a check.
@@ -94,7 +94,7 @@
 		w.refute(quarantine.NewCrashID(row.backend, row.incarnation))
 	}
 	var excluded []quarantine.Part
-	for _, part := range row.request.sharedParts {
+	for _, part := range row.request.prompt {
 		if w.snapshot().Quarantine().Suspect(part) {
 			excluded = append(excluded, part)
 		}
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -8,14 +8,19 @@
 package quarantine
 
 import (
+	"fmt"
+	"iter"
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limits of a crash. Further prompts and parts are dropped.
 const (
-	maxPromptsPerCrash = 8
-	maxPartsPerPrompt  = 8
+	maxPromptsPerCrash = 32 // of the requests that one server had taken
+	maxPartsPerPrompt  = 9
 )
 
 // Part identifies a shared part of the prompts of one service.
@@ -24,9 +29,43 @@
 // NewPart returns the part with the given id among the prompts of a service.
 func NewPart(service, id string) Part { return Part(service + "/" + id) }
 
-// Prompt is the list of the shared parts of one request, in their order.
+// wholeRequest marks the parts that stand for whole requests.
+const wholeRequest = "request "
+
+// NewRequestPart returns the part that stands for a whole request of a service, by what does not
+// change when its caller sends it again: its target and its body.
+func NewRequestPart(service, target string, body []byte) Part {
+	content := xxhash.New()
+	_, _ = content.WriteString(target) // a hash returns no errors
+	_, _ = content.Write([]byte{0})
+	_, _ = content.Write(body)
+	return Part(fmt.Sprintf("%s%s/%016x", wholeRequest, service, content.Sum64()))
+}
+
+// isRequest reports whether the part stands for a whole request.
+func (p Part) isRequest() bool { return strings.HasPrefix(string(p), wholeRequest) }
+
+// Prompt is the list of the shared parts of one request, in their order. The part that stands
+// for the whole request may precede them.
 type Prompt []Part
 
+// positions returns the parts with their positions among the shared parts, -1 for the whole
+// request.
+func (p Prompt) positions() iter.Seq2[int, Part] {
+	return func(yield func(int, Part) bool) {
+		position := 0
+		for _, part := range p {
+			at := -1
+			if !part.isRequest() {
+				at, position = position, position+1
+			}
+			if !yield(at, part) {
+				return
+			}
+		}
+	}
+}
+
 // CrashID identifies a crash: an incarnation of a backend server crashes once.
 type CrashID struct {
 	backend     string
--- a/core/quarantine/system_attribute.go
+++ b/core/quarantine/system_attribute.go
@@ -26,7 +26,7 @@
 // candidate is a part that may have caused crashes.
 type candidate struct {
 	part    Part
-	depth   int // highest position in the suspect prompts
+	depth   int // highest position in the suspect prompts, -1 for a whole request
 	crashes []CrashID
 }
 
@@ -37,7 +37,8 @@
 // further back in the prompts is more specific: a crash is attributed to the last part
 // that shares it with another crash, and among parts at the same position to the one with
 // the most crashes. So the first part of a prompt is blamed only for crashes under prompts
-// that have nothing else in common.
+// that have nothing else in common. A whole request is blamed last: if a part crashes
+// servers, other requests with it do so too.
 func (w *World) attribute(now time.Time) (*View, time.Time) {
 	view := &View{suspects: make(map[Part]bool), crashed: w.crashedServers()}
 	explained := make(map[CrashID]bool)
@@ -93,13 +94,13 @@
 			return
 		}
 		for _, prompt := range row.suspects {
-			for depth, part := range prompt {
+			for depth, part := range prompt.positions() {
 				if slices.Contains(row.excluded, part) {
 					continue
 				}
 				a := byPart[part]
 				if a == nil {
-					a = &candidate{part: part}
+					a = &candidate{part: part, depth: -1}
 					byPart[part], parts = a, append(parts, a)
 				}
 				a.depth = max(a.depth, depth)
@@ -128,7 +129,7 @@
 	}
 	slices.SortFunc(learned, time.Time.Compare)
 	settle := settleTime
-	if a.depth == 0 {
+	if a.depth <= 0 {
 		settle = firstPartSettleTime
 	}
 	duration := shortQuarantine
--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -28,6 +28,9 @@
 // unique returns a part that no other prompt has.
 func unique(n int) Part { return Part(fmt.Sprint("unique", n)) }
 
+// Whole requests.
+var request, other = NewRequestPart("s", "/a", []byte("x")), NewRequestPart("s", "/b", []byte("x"))
+
 // TestPoisonPartIsQuarantined guards against a part that crashes one backend server after
 // the other (BUDGET), and against the rejection of sound parts in the same prompts.
 func TestPoisonPartIsQuarantined(t *testing.T) {
@@ -48,6 +51,13 @@
 		{"two poison parts, few crashes", crashes(4, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("poison", n%2))}} }), 2 * time.Second, nil},
 		{"answers began meanwhile", append(crashes(3, func(n int) []Prompt { return []Prompt{{"first", unique(n)}} }), observation{began: "first"}), 2 * time.Second, nil},
 		{"answers began before", append([]observation{{began: "poison"}}, crashes(3, func(int) []Prompt { return []Prompt{{"first", "poison"}} })...), 2 * time.Second, []Part{"poison"}},
+		{"whole request, its part excluded", append(crashes(3, func(int) []Prompt { return []Prompt{{request, "first"}} }), observation{began: "first"}), 2 * time.Second, []Part{request}},
+		{"whole request without parts", crashes(3, func(int) []Prompt { return []Prompt{{request}} }), 2 * time.Second, []Part{request}},
+		{"whole request, two crashes", crashes(2, func(int) []Prompt { return []Prompt{{request}} }), 2 * time.Second, nil},
+		{"poison part in a request that is sent again", crashes(5, func(n int) []Prompt {
+			return []Prompt{{[]Part{request, request, request, other, other}[n], "first", "poison"}}
+		}), 2 * time.Second, []Part{"poison"}},
+		{"answers to the request began meanwhile", append(crashes(3, func(int) []Prompt { return []Prompt{{request}} }), observation{began: request}), 2 * time.Second, nil},
 		{"short quarantine over", crashes(3, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), shortQuarantine + time.Second, nil},
 		{"proven", crashes(5, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), shortQuarantine + time.Second, []Part{"poison"}},
 		{"long quarantine over", crashes(5, func(int) []Prompt { return []Prompt{{"first", "poison"}} }), longQuarantine + time.Second, nil},
