Bound the prompts of a crash at 16

A server takes its slots and a few requests more, so 16 hold those that were lost with it. Tests of core/quarantine pass before and after.

--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -19,7 +19,7 @@
 
 // Limits of a crash. Further prompts and parts are dropped.
 const (
-	maxPromptsPerCrash = 32 // of the requests that one server had taken
+	maxPromptsPerCrash = 16 // of the requests that one server had taken
 	maxPartsPerPrompt  = 9
 )
 
