--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"slices"
 	"time"
 
 	"papayaquay/core/call"
@@ -86,34 +85,17 @@
 // it names. It must neither take the place of the server's own announcements nor hide another
 // server at its address.
 func (w *World) rejectForeign(b member.Backend) bool {
-	known, _ := w.directory.Backend(b.ID())
-	if w.config == nil || len(b.Services()) == 0 || w.isConfigured(b) || slices.ContainsFunc(b.Services(), known.Runs) {
+	if w.config == nil || len(b.Services()) == 0 {
 		return false
 	}
-	event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "unknown service")
-	return true
-}
-
-// isConfigured reports whether the configuration names a service of a server.
-func (w *World) isConfigured(b member.Backend) bool {
-	return slices.ContainsFunc(b.Services(), func(service string) bool {
-		_, ok := w.config.Service(service)
-		return ok
-	})
-}
-
-// removeForeign removes what announcements of other writers may have left before the first
-// configuration was known. The servers' own next announcements count again then.
-func (w *World) removeForeign() {
-	var foreign []string
-	w.directory.EachBackend(func(b member.Backend) {
-		if !w.isConfigured(b) {
-			foreign = append(foreign, b.ID())
+	known, _ := w.directory.Backend(b.ID())
+	for _, service := range b.Services() {
+		if _, ok := w.config.Service(service); ok || known.Runs(service) {
+			return false
 		}
-	})
-	for _, id := range foreign {
-		w.directory.RemoveBackend(id)
 	}
+	event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "unknown service")
+	return true
 }
 
 // leave makes it durable that a backend server leaves; the directory records it
--- a/core/cluster/system_poll.go
+++ b/core/cluster/system_poll.go
@@ -94,11 +94,7 @@
 	}
 	event.ConfigDocumentApplied.Log(w.logger, "config", d.Number(), "before", w.document.Number(), "source", source,
 		"routes", len(config.Routes()))
-	isFirst := w.config == nil
 	w.document, w.config, w.snapshotStale = d, config, true
-	if isFirst {
-		w.removeForeign()
-	}
 }
 
 // bootstrapJobsLedger creates the jobs ledger here if this replica is one of its
--- a/core/directory/stale.go
+++ b/core/directory/stale.go
@@ -30,7 +30,7 @@
 			row.announcedAt = now
 		}
 		if now.Sub(row.announcedAt) > backendExpiry {
-			w.RemoveBackend(id)
+			w.removeBackend(id)
 			return
 		}
 		if stale != row.stale {
@@ -40,8 +40,8 @@
 	})
 }
 
-// RemoveBackend removes a server from the directory and from all stale sets.
-func (w *World) RemoveBackend(id string) {
+// removeBackend removes a server from the directory and from all stale sets.
+func (w *World) removeBackend(id string) {
 	w.backends.Remove(id)
 	w.version++
 	for _, s := range w.staleSets {
