Correct the comment on the streams that an entry keeps

Cause: read once more: since an entry keeps which version began each resumable stream, not only while several versions are in use, and the comment still said so. Change: the comment. core/entry passes.

--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -48,7 +48,7 @@
 	dataCentre     string
 
 	requests           *table.Table[uint64, requestRow]
-	began              *stream.Records // streams whose answers began here, while several versions were in use
+	began              *stream.Records // streams whose answers began here
 	unrecordedUntil    time.Time       // until when no records of streams are expected to be confirmed
 	servers            *table.Table[string, serverRow]
 	crashChecks        *table.Table[quarantine.CrashID, crashCheckRow]
