--- /dev/null
+++ b/review/lab2/versions.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Parameters of the case of two software versions.
+const (
+	versionClients  = 12
+	versionDowntime = 500 * time.Millisecond
+	versionLate     = time.Second            // of the first liveness report after a start
+	versionGap      = 900 * time.Millisecond // between the crashes of two workers
+	versionStart    = 3 * time.Second        // until the first crash
+	versionTime     = 12 * time.Second
+	allowedMixed    = 2 // streams
+)
+
+// versionRun counts the streams that hold events of two versions.
+type versionRun struct {
+	mu                       sync.Mutex
+	streams, complete, mixed int
+}
+
+// runVersions has workers that crash one after the other and start again under their id with a new
+// software version, and checks that no stream holds events of two versions.
+func runVersions(record *recorder, trouble bool) (broken bool, err error) {
+	c, err := startCase(record, manifest(1, true, 2), fleet{workers: 6, slots: 8, eventCount: 20, eventPause: 50 * time.Millisecond})
+	if c != nil {
+		defer c.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	var run versionRun
+	end := time.Now().Add(versionTime)
+	var clients sync.WaitGroup
+	for n := range versionClients {
+		clients.Go(func() {
+			for time.Now().Before(end) {
+				run.count(c.readThrough(n))
+			}
+		})
+	}
+	if trouble {
+		time.Sleep(versionStart)
+		for _, w := range c.workers {
+			record.add("%s crashes", w.id)
+			w.crash(versionDowntime, versionLate, "v2")
+			time.Sleep(versionGap)
+		}
+	}
+	clients.Wait()
+	record.say("%d streams, %d complete, %d hold events of two versions (allowed: %d)", run.streams, run.complete, run.mixed, allowedMixed)
+	return run.mixed > allowedMixed, nil
+}
+
+// count counts a stream by the versions of its events.
+func (v *versionRun) count(versions map[string]bool, complete bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.streams++
+	if complete {
+		v.complete++
+	}
+	if len(versions) > 1 {
+		v.mixed++
+	}
+}
+
+// readThrough reads one stream, with one retry that takes it up at another entry. It returns the
+// versions of its events and whether it is complete.
+func (c *cluster) readThrough(client int) (versions map[string]bool, complete bool) {
+	entries := c.role("entry")
+	id := newID("stream")
+	first := c.stream(entries[client%len(entries)], id, "aa:100,"+id+":250", "content of "+id, nil)
+	c.record.add("client: %s got %d, %d events, complete %t", id, first.status, len(first.events), first.complete)
+	events, complete := first.events, first.complete
+	if !complete && first.begun {
+		again := newID("again")
+		second := c.stream(entries[(client+1)%len(entries)], again, "aa:100,"+id+":250", "content of "+id,
+			map[string]string{names["last_event"]: fmt.Sprint(first.last), names["resumes"]: id})
+		c.record.add("client: %s takes up %s after event %d: got %d, %d events, complete %t", again, id, first.last, second.status, len(second.events), second.complete)
+		events, complete = append(events, second.events...), second.complete
+	}
+	versions = make(map[string]bool)
+	for _, e := range events {
+		version, _, _ := strings.Cut(e, " ")
+		versions[version] = true
+	}
+	if len(versions) > 1 {
+		c.record.add("client: the stream %s holds events of two versions: %s", id, strings.Join(events, ", "))
+	}
+	return versions, complete
+}
