Show requests that two workers work on after one turns slow

Broken: rule TWICE of model workers. A stream on a worker that is silent for 600 ms goes on at another worker, though the first is reached and works on.

--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -22,6 +22,7 @@
 	"versions": runVersions,
 	"poison":   runPoison,
 	"shared":   runShared,
+	"twice":    runTwice,
 }
 
 func main() { os.Exit(run()) }
