--- a/review/lab2/foreign.go
+++ b/review/lab2/foreign.go
@@ -48,3 +48,51 @@
 	r.Body.Close()
 	c.record.add("another writer reports agent-%s: %s: got %d", w.id, body, r.StatusCode)
 }
+
+// runEarly sends liveness reports of another writer that name an unknown service before the first
+// manifest comes, and checks that the workers are used.
+func runEarly(record *recorder, trouble bool) (broken bool, err error) {
+	c, err := newCluster(record, []string{"a", "b", "c"}, 2)
+	if c != nil {
+		defer c.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	for n := range 6 {
+		if err := c.addWorker(c.zones[n%len(c.zones)], fleet{slots: 4, eventCount: 5, eventPause: 20 * time.Millisecond}); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(foreignDelay)
+	if trouble {
+		for _, w := range c.workers {
+			c.reportUnknown(w)
+		}
+	}
+	if err := c.configure(manifest(1, false, 1)); err != nil {
+		return false, err
+	}
+	if err := c.await(30 * time.Second); err != nil {
+		return false, err
+	}
+	time.Sleep(settleTime)
+	return c.checkService()
+}
+
+// reportUnknown sends what a worker reports, but with a service that no manifest names and a seq
+// of the other writer's own.
+func (c *cluster) reportUnknown(w *worker) {
+	w.mu.Lock()
+	body, _ := json.Marshal(map[string]any{"service": "unknown", "address": w.address, "zone": w.zone, "version": w.version,
+		"slots": w.slots, "state": "ready", names["cold"]: 0, "seq": 1000000, "born": w.born})
+	w.mu.Unlock()
+	control := c.role("control")[0]
+	r, err := http.Post(fmt.Sprintf("http://%s:%d"+names["heartbeat"], control.address, controlPort, w.id), "application/json", bytes.NewReader(body))
+	if err != nil {
+		c.record.add("another writer: %v", err)
+		return
+	}
+	r.Body.Close()
+	c.record.add("another writer reports %s: %s: got %d", w.id, body, r.StatusCode)
+}
--- a/review/lab2/jobs.go
+++ b/review/lab2/jobs.go
@@ -37,7 +37,7 @@
 	}
 	c.record.say("%d of %d online requests served", served, probeCount)
 	id := newID("job")
-	if err := c.submit(id); err != nil {
+	if err := c.submit(id, jobItems); err != nil {
 		return false, err
 	}
 	slots, busiest, listed := 0, 0, 0
@@ -60,10 +60,10 @@
 	return listed < jobItems && 2*busiest < slots, nil
 }
 
-// submit sends a job until an entry accepts it.
-func (c *cluster) submit(id string) error {
+// submit sends a job with a number of items until an entry accepts it.
+func (c *cluster) submit(id string, items int) error {
 	var requests []map[string]any
-	for n := range jobItems {
+	for n := range items {
 		requests = append(requests, map[string]any{"id": fmt.Sprintf("%s-%d", id, n), "path": batchPath + "x", "headers": map[string]string{},
 			"body": base64.StdEncoding.EncodeToString([]byte("item")), "tokens": itemTokens})
 	}
@@ -83,20 +83,30 @@
 	return errNotAccepted
 }
 
+// resultPage is a page of results.
+type resultPage struct {
+	Next    int `json:"next"`
+	Results []struct {
+		ID   string `json:"id"`
+		Text string `json:"text"`
+	} `json:"results"`
+}
+
 // listed returns the number of listed results of a job.
-func (c *cluster) listed(id string) int {
+func (c *cluster) listed(id string) int { return c.results(id).Next }
+
+// results reads the results of a job from the start.
+func (c *cluster) results(id string) resultPage {
 	for _, entry := range c.role("entry") {
 		status, data, err := c.call(entry, http.MethodGet, names["jobs"]+id+"?after=0", newID("read"), nil)
-		var page struct {
-			Next int `json:"next"`
-		}
+		var page resultPage
 		if err == nil && status == http.StatusOK && json.Unmarshal(data, &page) == nil {
 			c.record.add("client: read of %s lists %d", id, page.Next)
-			return page.Next
+			return page
 		}
 		c.record.add("client: read of %s got %d %v", id, status, err)
 	}
-	return 0
+	return resultPage{}
 }
 
 // call makes a call about a job on a new connection.
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -23,6 +23,8 @@
 	"poison":   runPoison,
 	"shared":   runShared,
 	"twice":    runTwice,
+	"items":    runItems,
+	"early":    runEarly,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab2/versions.go
+++ b/review/lab2/versions.go
@@ -95,3 +95,45 @@
 	}
 	return versions, complete
 }
+
+// Parameters of the case of items and two software versions.
+const (
+	itemCount    = 60
+	itemDowntime = 300 * time.Millisecond
+)
+
+// runItems has workers that crash one after the other while a batch job runs and start again under
+// their id with a new software version, and checks that no result holds text of two versions.
+func runItems(record *recorder, trouble bool) (broken bool, err error) {
+	c, err := startCase(record, manifest(1, true, 2), fleet{workers: 6, slots: 8, eventCount: 100, eventPause: 40 * time.Millisecond})
+	if c != nil {
+		defer c.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	id := newID("job")
+	if err := c.submit(id, itemCount); err != nil {
+		return false, err
+	}
+	time.Sleep(versionStart / 2)
+	for _, w := range c.workers {
+		if trouble {
+			record.add("%s crashes", w.id)
+			w.crash(itemDowntime, versionLate, "v2")
+		}
+		time.Sleep(versionGap)
+	}
+	for end := time.Now().Add(4 * finishTime); time.Now().Before(end) && c.listed(id) < itemCount; {
+		time.Sleep(jobInterval)
+	}
+	mixed, results := 0, c.results(id).Results
+	for _, r := range results {
+		if strings.Contains(r.Text, "v1 ") && strings.Contains(r.Text, "v2 ") {
+			mixed++
+			record.add("client: the result of %s holds text of two versions: %s", r.ID, strings.ReplaceAll(r.Text, "\n", ", "))
+		}
+	}
+	record.say("%d of %d results listed, %d hold text of two versions (allowed: none)", len(results), itemCount, mixed)
+	return mixed > 0, nil
+}
