Show streams joined from two versions after a restart and a cut of an entry

An entry that was started less than 5 s before a second version came, and is cut off then, begins streams on both versions without a record; an entry in touch continues those of the second version on the first.

--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,9 +41,14 @@
 
 // stream sends a request for a stream to an entry on a new connection and reads the answer.
 func (c *cluster) stream(entry *instance, id, parts, content string, header map[string]string) answer {
+	return c.streamWithReset(nil, entry, id, parts, content, header)
+}
+
+// streamWithReset is like stream. The connection is reset when resets is closed, if it is not nil.
+func (c *cluster) streamWithReset(resets chan struct{}, entry *instance, id, parts, content string, header map[string]string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), clientWait)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%sx", entry.address, callerPort, routePath), strings.NewReader(content))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%sx", entry.host(), callerPort, routePath), strings.NewReader(content))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -55,7 +61,7 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialWithReset(resets)}
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(r)
 	if err != nil {
@@ -68,6 +74,24 @@
 	return a
 }
 
+// dialWithReset returns a function that opens connections, which are reset when resets is closed, if
+// it is not nil.
+func dialWithReset(resets chan struct{}) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil || resets == nil {
+			return conn, err
+		}
+		go func() {
+			<-resets
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}()
+		return conn, nil
+	}
+}
+
 // read reads events until the body ends. The error is io.EOF at its regular end.
 func (a *answer) read(body io.Reader) error {
 	reader := bufio.NewReader(body)
--- a/review/lab2/cluster.go
+++ b/review/lab2/cluster.go
@@ -23,6 +23,9 @@
 	workerPort  = 8080
 )
 
+// entryCount is the number of entries.
+const entryCount = 2
+
 // program is the program that the deploy file builds.
 const program = "target/papayaquay"
 
@@ -31,11 +34,20 @@
 	name    string
 	role    string
 	zone    string
-	address string
+	address string // at which the others reach it
+	listen  string // at which it listens behind a proxy, empty without one
 	command *exec.Cmd
 	ended   chan struct{}
 }
 
+// host returns the address at which an instance listens.
+func (i *instance) host() string {
+	if i.listen != "" {
+		return i.listen
+	}
+	return i.address
+}
+
 // cluster is a small deployment: processes, workers and an operator.
 type cluster struct {
 	record    *recorder
@@ -44,6 +56,7 @@
 	zones     []string
 	instances []*instance
 	workers   []*worker
+	proxies   []*proxy
 }
 
 // errBusy says that no loopback network with free ports was found.
@@ -63,8 +76,9 @@
 	return "", errBusy
 }
 
-// newCluster starts control and store instances, one a zone, and the given number of entries.
-func newCluster(record *recorder, zones []string, entries int) (*cluster, error) {
+// newCluster starts control and store instances, one a zone, and two entries. prepare, if it is not
+// nil, is called before the processes start.
+func newCluster(record *recorder, prepare func(*cluster) error) (*cluster, error) {
 	subnet, err := freeSubnet()
 	if err != nil {
 		return nil, err
@@ -73,14 +87,19 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{record: record, folder: folder, subnet: subnet, zones: zones}
+	c := &cluster{record: record, folder: folder, subnet: subnet, zones: []string{"a", "b", "c"}}
 	for _, role := range []string{"control", "store"} {
-		for _, zone := range zones {
+		for _, zone := range c.zones {
 			c.add(role, zone)
 		}
 	}
-	for i := range entries {
-		c.add("entry", zones[i%len(zones)])
+	for n := range entryCount {
+		c.add("entry", c.zones[n])
+	}
+	if prepare != nil {
+		if err := prepare(c); err != nil {
+			return c, err
+		}
 	}
 	for _, i := range c.instances {
 		if err := c.start(i, true); err != nil {
@@ -96,6 +115,15 @@
 	slots      int
 	eventCount int
 	eventPause time.Duration
+	software   string // version, v1 if empty
+}
+
+// version returns the software version of the workers.
+func (f fleet) version() string {
+	if f.software == "" {
+		return "v1"
+	}
+	return f.software
 }
 
 // settleTime is the time after the start in which all that was started gets known everywhere.
@@ -104,7 +132,7 @@
 // startCase starts a deployment with three zones, two entries and workers, and waits until it has
 // settled. The caller must close the deployment if it is not nil.
 func startCase(record *recorder, manifest string, f fleet) (*cluster, error) {
-	c, err := newCluster(record, []string{"a", "b", "c"}, 2)
+	c, err := newCluster(record, nil)
 	if err != nil {
 		return c, err
 	}
@@ -143,6 +171,9 @@
 	case "control":
 		text += fmt.Sprintf("control_address = \"%s:%d\"\n", i.address, controlPort)
 	}
+	if i.listen != "" {
+		text += fmt.Sprintf("listen_address = %q\n", i.listen)
+	}
 	if i.role != "entry" {
 		text += fmt.Sprintf("data_folder = %q\n", filepath.Join(c.folder, i.name))
 	}
@@ -192,6 +223,9 @@
 	for _, w := range c.workers {
 		w.stop()
 	}
+	for _, p := range c.proxies {
+		p.listener.Close()
+	}
 	for _, i := range c.instances {
 		if i.command != nil && i.command.Process != nil {
 			_ = i.command.Process.Kill()
@@ -210,7 +244,7 @@
 	end := time.Now().Add(timeout)
 	for _, i := range c.role("entry") {
 		for {
-			r, err := client.Get(fmt.Sprintf("http://%s:%d/ready", i.address, readyPort))
+			r, err := client.Get(fmt.Sprintf("http://%s:%d/ready", i.host(), readyPort))
 			if err == nil {
 				r.Body.Close()
 				if r.StatusCode == http.StatusOK {
@@ -231,7 +265,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, i := range c.role("control") {
-			r, err := client.Post(fmt.Sprintf("http://%s:%d%s", i.address, controlPort, names["put_config"]), "application/json", strings.NewReader(manifest))
+			r, err := client.Post(fmt.Sprintf("http://%s:%d%s", i.host(), controlPort, names["put_config"]), "application/json", strings.NewReader(manifest))
 			if err != nil {
 				continue
 			}
--- a/review/lab2/foreign.go
+++ b/review/lab2/foreign.go
@@ -40,7 +40,7 @@
 		return
 	}
 	control := c.role("control")[0]
-	r, err := http.Post(fmt.Sprintf("http://%s:%d"+names["heartbeat"], control.address, controlPort, "agent-"+w.id), "application/json", bytes.NewReader(body))
+	r, err := http.Post(fmt.Sprintf("http://%s:%d"+names["heartbeat"], control.host(), controlPort, "agent-"+w.id), "application/json", bytes.NewReader(body))
 	if err != nil {
 		c.record.add("another writer: %v", err)
 		return
@@ -52,7 +52,7 @@
 // runEarly sends liveness reports of another writer that name an unknown service before the first
 // manifest comes, and checks that the workers are used.
 func runEarly(record *recorder, trouble bool) (broken bool, err error) {
-	c, err := newCluster(record, []string{"a", "b", "c"}, 2)
+	c, err := newCluster(record, nil)
 	if c != nil {
 		defer c.close()
 	}
@@ -88,7 +88,7 @@
 		"slots": w.slots, "state": "ready", names["cold"]: 0, "seq": 1000000, "born": w.born})
 	w.mu.Unlock()
 	control := c.role("control")[0]
-	r, err := http.Post(fmt.Sprintf("http://%s:%d"+names["heartbeat"], control.address, controlPort, w.id), "application/json", bytes.NewReader(body))
+	r, err := http.Post(fmt.Sprintf("http://%s:%d"+names["heartbeat"], control.host(), controlPort, w.id), "application/json", bytes.NewReader(body))
 	if err != nil {
 		c.record.add("another writer: %v", err)
 		return
--- a/review/lab2/jobs.go
+++ b/review/lab2/jobs.go
@@ -111,7 +111,7 @@
 
 // call makes a call about a job on a new connection.
 func (c *cluster) call(entry *instance, method, path, id string, body []byte) (int, []byte, error) {
-	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", entry.address, callerPort, path), bytes.NewReader(body))
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", entry.host(), callerPort, path), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -17,14 +17,15 @@
 
 // scenarios are the cases by name. A scenario returns whether the rule was broken.
 var scenarios = map[string]func(record *recorder, trouble bool) (broken bool, err error){
-	"foreign":  runForeign,
-	"status":   runStatus,
-	"versions": runVersions,
-	"poison":   runPoison,
-	"shared":   runShared,
-	"twice":    runTwice,
-	"items":    runItems,
-	"early":    runEarly,
+	"foreign":   runForeign,
+	"status":    runStatus,
+	"versions":  runVersions,
+	"poison":    runPoison,
+	"shared":    runShared,
+	"twice":     runTwice,
+	"items":     runItems,
+	"early":     runEarly,
+	"restarted": runRestarted,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -51,7 +51,7 @@
 func (c *cluster) addWorker(zone string, f fleet) error {
 	n := len(c.workers)
 	w := &worker{c: c, id: fmt.Sprintf("w%d", n+1), address: fmt.Sprintf("%s.%d:%d", c.subnet, 100+n, workerPort), zone: zone,
-		slots: f.slots, eventCount: f.eventCount, eventPause: f.eventPause, version: "v1", born: time.Now().UnixMilli()}
+		slots: f.slots, eventCount: f.eventCount, eventPause: f.eventPause, version: f.version(), born: time.Now().UnixMilli()}
 	c.workers = append(c.workers, w)
 	if err := w.listen(); err != nil {
 		return err
@@ -166,7 +166,7 @@
 	controls := w.c.role("control")
 	for i := range controls {
 		target := controls[(n+i)%len(controls)]
-		r, err := client.Post(fmt.Sprintf("http://%s:%d"+names["heartbeat"], target.address, controlPort, w.id), "application/json", bytes.NewReader(body))
+		r, err := client.Post(fmt.Sprintf("http://%s:%d"+names["heartbeat"], target.host(), controlPort, w.id), "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
 		}
