--- a/io/backend/server.go
+++ b/io/backend/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 
 	"papayaquay/core/control"
 	"papayaquay/core/member"
@@ -67,6 +68,10 @@
 	if err != nil || address.Scheme != "http" || address.Host == "" {
 		return member.Backend{}, errors.Wrapf(outcome.ErrInvalid, "address %q is no http URL", m.GetAddress())
 	}
+	// Without these fields an announcement of another writer would replace the server's own.
+	if m.GetDataCentre() == "" || m.GetIncarnation() == 0 || m.GetSequence() == 0 || len(m.GetServices()) == 0 || slices.Contains(m.GetServices(), "") {
+		return member.Backend{}, errors.Wrap(outcome.ErrInvalid, "data centre, incarnation, sequence or services missing")
+	}
 	if m.GetId() == "" || len(m.GetId()) > maxNameBytes || m.GetSlots() < 1 || m.GetSlots() > maxSlots ||
 		len(m.GetServices()) > maxServices || len(m.GetModels()) > maxServices {
 		return member.Backend{}, errors.Wrap(outcome.ErrInvalid, "id, slots, services or models out of range")
