Find parts that crash servers after the first event of an answer

Cause: requests whose answers had begun were no suspects of a crash, and each begin of an answer, the poison request's own included, excluded its parts from the known crashes.

Ruled out: a later bound for "begun" (a crash may come later still); treating all lost requests alike (the parts of sound requests in flight are more specific and would be blamed first). Change: lost requests with a begun answer are evidence of their own, used for crashes that nothing else explains; only a complete answer clears them. Failures no longer count as begins.

--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -27,6 +27,7 @@
 	usage          *usage.Report
 	crash          *quarantine.Crash
 	excluded       []quarantine.Part
+	cleared        []quarantine.Part
 	answered       *quarantine.CrashID
 	seeds          []string
 	reportTransfer func(leading int)
@@ -90,6 +91,9 @@
 // AnswerBegan reports that an answer began on suspect parts.
 func AnswerBegan(parts []quarantine.Part) Input { return Input{excluded: parts} }
 
+// AnswerCompleted reports that an answer on suspect parts came to its end.
+func AnswerCompleted(parts []quarantine.Part) Input { return Input{cleared: parts} }
+
 // ServerAnswered reports that a backend server that was believed to have crashed answered.
 func ServerAnswered(id quarantine.CrashID) Input { return Input{answered: &id} }
 
--- a/core/entry/input.go
+++ b/core/entry/input.go
@@ -46,8 +46,8 @@
 // ProbeEnded reports whether a probe opened a connection to a server.
 func ProbeEnded(backend string, reached bool) Input { return Input{probed: backend, reached: reached} }
 
-// AnswerBegan reports that the first bytes of the body of the current attempt's answer
-// arrived.
+// AnswerBegan reports that the first bytes of the body of the current attempt's answer arrived,
+// and that it is no failure.
 func AnswerBegan(number uint64) Input { return Input{number: number, began: true} }
 
 // CrashChecked reports whether a server that lost a request refuses connections.
--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -11,6 +11,7 @@
 // known whether the server crashed.
 type crashCheckRow struct {
 	suspects []quarantine.Prompt
+	begun    []quarantine.Prompt // of the requests whose answers had begun
 }
 
 // maxComparedServers is the number of other servers that a check asks for a connection.
@@ -53,10 +54,9 @@
 	return true
 }
 
-// suspectCrash starts a check of the server on which a request was lost. A request whose
-// answer had begun cannot have crashed it.
+// suspectCrash starts a check of the server on which a request was lost.
 func (w *World) suspectCrash(row *requestRow) {
-	if row.answerBegan || len(row.request.prompt) == 0 {
+	if len(row.request.prompt) == 0 {
 		return
 	}
 	id := quarantine.NewCrashID(row.backend, row.incarnation)
@@ -65,6 +65,10 @@
 		check = w.crashChecks.Put(id, crashCheckRow{})
 		w.checkCrash(id, w.server(row.backend).address, w.comparableServers(row))
 	}
+	if row.answerBegan {
+		check.begun = append(check.begun, row.request.prompt)
+		return
+	}
 	check.suspects = append(check.suspects, row.request.prompt)
 }
 
@@ -78,11 +82,28 @@
 	if !crashed {
 		return
 	}
-	event.ServerCrashed.Log(w.logger, "backend", id.Backend(), "incarnation", id.Incarnation(), "suspects", check.suspects)
-	w.reportCrash(quarantine.NewCrash(id, 0, check.suspects, nil))
+	event.ServerCrashed.Log(w.logger, "backend", id.Backend(), "incarnation", id.Incarnation(), "suspects", check.suspects, "begun", check.begun)
+	w.reportCrash(quarantine.NewCrash(id, 0, check.suspects, nil).WithBegun(check.begun))
+}
+
+// recordEnd records that an answer came to its end. Its parts did not cause the known crashes.
+func (w *World) recordEnd(row *requestRow) {
+	if !row.answerBegan {
+		return // a failure, or an answer without content
+	}
+	var cleared []quarantine.Part
+	for _, part := range row.request.prompt {
+		if w.snapshot().Quarantine().Uncleared(part) {
+			cleared = append(cleared, part)
+		}
+	}
+	if len(cleared) > 0 {
+		w.clear(cleared)
+	}
 }
 
-// recordBegin records that an answer began. Its parts did not cause the known crashes.
+// recordBegin records that an answer began. Its parts did not cause the known crashes, unless
+// they crash servers later in their answers.
 func (w *World) recordBegin(now time.Time, number uint64) {
 	row := w.requests.Get(number)
 	if row == nil {
--- a/core/entry/system_crash_test.go
+++ b/core/entry/system_crash_test.go
@@ -12,8 +12,8 @@
 )
 
 // TestCrashEvidence checks which lost requests an entry instance reports as the possible
-// cause of a crash: those whose answers had not begun, on a server that refuses
-// connections.
+// cause of a crash, on a server that refuses connections: apart those whose answers had begun,
+// which may crash servers as well (review/10, BUDGET).
 func TestCrashEvidence(t *testing.T) {
 	prompt := quarantine.Prompt{"s/1", "s/2"}
 	for _, test := range []struct {
@@ -27,7 +27,9 @@
 	}{
 		{"before the header", prompt, false, false, AttemptLost, true, true},
 		{"after the header, before the body", prompt, true, false, AttemptInterrupted, true, true},
-		{"after a part of the body", prompt, true, true, AttemptInterrupted, true, false},
+		{"after a part of the body", prompt, true, true, AttemptInterrupted, true, true},
+		{"after a part of the body, server still accepts connections", prompt, true, true, AttemptInterrupted, false, false},
+		{"after a part of the body, before any of it was sent on", prompt, true, true, AttemptLost, true, true},
 		{"server still accepts connections", prompt, true, false, AttemptInterrupted, false, false},
 		{"no shared parts", nil, false, false, AttemptLost, true, false},
 		{"not sent", prompt, false, false, AttemptUnreachable, true, false},
@@ -42,7 +44,7 @@
 				e.c.Check(others, qt.HasLen, 1)
 				e.c.Check(others, qt.Not(qt.Contains), address)
 				checked = append(checked, id)
-			}, func(c quarantine.Crash) { reported = append(reported, c) }, func([]quarantine.Part) {}, func(quarantine.CrashID) {})(e.world)
+			}, func(c quarantine.Crash) { reported = append(reported, c) }, func([]quarantine.Part) {}, func([]quarantine.Part) {}, func(quarantine.CrashID) {})(e.world)
 			e.submitPrompt(test.prompt)
 			number := e.last().Number()
 			backend := e.last().Backend()
@@ -62,7 +64,12 @@
 			}
 			e.c.Assert(reported, qt.HasLen, 1)
 			e.c.Assert(reported[0].ID(), qt.Equals, quarantine.NewCrashID(backend.ID(), backend.Incarnation()))
-			e.c.Assert(reported[0].Suspects(), qt.DeepEquals, []quarantine.Prompt{prompt})
+			suspects, begun := []quarantine.Prompt{prompt}, []quarantine.Prompt(nil)
+			if test.began {
+				suspects, begun = begun, suspects
+			}
+			e.c.Assert(reported[0].Suspects(), qt.DeepEquals, suspects)
+			e.c.Assert(reported[0].Begun(), qt.DeepEquals, begun)
 		})
 	}
 }
@@ -86,7 +93,7 @@
 			e := newTestEntry(t, 3, cluster.Loads{})
 			var began []quarantine.Part
 			WithQuarantine(func(quarantine.CrashID, string, []string) {}, func(quarantine.Crash) {},
-				func(parts []quarantine.Part) { began = append(began, parts...) }, func(quarantine.CrashID) {})(e.world)
+				func(parts []quarantine.Part) { began = append(began, parts...) }, func([]quarantine.Part) {}, func(quarantine.CrashID) {})(e.world)
 			e.submitPrompt(test.prompt)
 			number := e.last().Number()
 			evidence := quarantine.New(1)
@@ -125,7 +132,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			e := newTestEntry(t, 1, cluster.Loads{})
 			var refuted []quarantine.CrashID
-			WithQuarantine(func(quarantine.CrashID, string, []string) {}, func(quarantine.Crash) {}, func([]quarantine.Part) {},
+			WithQuarantine(func(quarantine.CrashID, string, []string) {}, func(quarantine.Crash) {}, func([]quarantine.Part) {}, func([]quarantine.Part) {},
 				func(id quarantine.CrashID) { refuted = append(refuted, id) })(e.world)
 			id := quarantine.NewCrashID("b0", 1)
 			if !test.sentAfter {
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -28,6 +28,9 @@
 		event.AttemptFailed.Log(w.logger, "request", row.request.id, "backend", row.backend, "end", input.status.String(),
 			"began", row.answerBegan, "failures", server.failures, "ms", now.Sub(row.sentAt).Milliseconds())
 	}
+	if input.status == AttemptAnswered {
+		w.recordEnd(row)
+	}
 	switch input.status {
 	case AttemptAnswered, AttemptCallerGone:
 		event.RequestEnded.Log(w.logger, "request", row.request.id, "outcome", input.status.String(), "backend", row.backend,
--- a/core/quarantine/bench_test.go
+++ b/core/quarantine/bench_test.go
@@ -18,7 +18,7 @@
 				for p := range maxPromptsPerCrash {
 					prompts = append(prompts, Prompt{Part(fmt.Sprint("first", p%5)), Part(fmt.Sprint("second", (n*p)%97)), unique(n*100 + p)})
 				}
-				w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, prompts, nil))
+				w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, prompts, nil).WithBegun(prompts))
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -19,7 +19,8 @@
 
 // Limits of a crash. Further prompts and parts are dropped.
 const (
-	maxPromptsPerCrash = 16 // of the requests that one server had taken
+	maxPromptsPerCrash = 16 // of the requests that one server had taken, whose answers had not begun
+	maxBegunPerCrash   = 32 // of those whose answers had begun
 	maxPartsPerPrompt  = 9
 )
 
@@ -83,13 +84,15 @@
 // Incarnation returns the incarnation of the backend server.
 func (c CrashID) Incarnation() uint64 { return c.incarnation }
 
-// Crash is what is known about a crash. The requests whose answers had begun cannot have
-// caused it and are not listed.
+// Crash is what is known about a crash. Most requests that crash a server do so before the first
+// event of their answer, so those whose answers had begun are listed apart.
 type Crash struct {
 	id       CrashID
 	age      time.Duration
 	suspects []Prompt
+	begun    []Prompt
 	excluded []Part
+	cleared  []Part
 	refuted  bool
 }
 
@@ -107,25 +110,47 @@
 	return c
 }
 
+// WithBegun returns the crash with the prompts of the requests that the server had taken and
+// whose answers had begun.
+func (c Crash) WithBegun(prompts []Prompt) Crash {
+	c.begun = prompts
+	return c
+}
+
+// WithCleared returns the crash with the parts on which answers came to their end after the crash
+// was known.
+func (c Crash) WithCleared(parts []Part) Crash {
+	c.cleared = parts
+	return c
+}
+
 // ID returns the id of the crash.
 func (c Crash) ID() CrashID { return c.id }
 
 // Age returns the time since the crash.
 func (c Crash) Age() time.Duration { return c.age }
 
-// Suspects returns the prompts of the requests that may have caused the crash.
+// Suspects returns the prompts of the requests whose answers had not begun.
 func (c Crash) Suspects() []Prompt { return c.suspects }
 
-// Excluded returns the parts that cannot have caused the crash.
+// Begun returns the prompts of the requests whose answers had begun.
+func (c Crash) Begun() []Prompt { return c.begun }
+
+// Excluded returns the parts that cannot have caused the crash before the begin of an answer.
 func (c Crash) Excluded() []Part { return c.excluded }
 
+// Cleared returns the parts that cannot have caused the crash at all.
+func (c Crash) Cleared() []Part { return c.cleared }
+
 // Refuted reports whether the server answered after the crash, so that it did not crash.
 func (c Crash) Refuted() bool { return c.refuted }
 
 // crashRow is a crash in the table.
 type crashRow struct {
 	suspects     []Prompt
+	begun        []Prompt
 	excluded     []Part
+	cleared      []Part
 	refuted      bool
 	happenedAt   time.Time
 	learnedAt    time.Time // when the crash became known here
@@ -138,29 +163,52 @@
 func (r *crashRow) merge(c Crash) bool {
 	changed := c.refuted && !r.refuted
 	r.refuted = r.refuted || c.refuted
-	for _, prompt := range c.suspects {
+	changed = addPrompts(&r.suspects, c.suspects, maxPromptsPerCrash) || changed
+	changed = addPrompts(&r.begun, c.begun, maxBegunPerCrash) || changed
+	changed = addParts(&r.excluded, c.excluded, r.names) || changed
+	changed = addParts(&r.cleared, c.cleared, r.namesAnywhere) || changed
+	return changed
+}
+
+// addPrompts adds the prompts that are not known, up to the limit, and reports whether there were any.
+func addPrompts(known *[]Prompt, prompts []Prompt, limit int) (changed bool) {
+	for _, prompt := range prompts {
 		prompt = prompt[:min(len(prompt), maxPartsPerPrompt)]
-		known := slices.ContainsFunc(r.suspects, func(p Prompt) bool { return slices.Equal(p, prompt) })
-		if len(prompt) > 0 && !known && len(r.suspects) < maxPromptsPerCrash {
-			r.suspects, changed = append(r.suspects, prompt), true
+		isKnown := slices.ContainsFunc(*known, func(p Prompt) bool { return slices.Equal(p, prompt) })
+		if len(prompt) > 0 && !isKnown && len(*known) < limit {
+			*known, changed = append(*known, prompt), true
 		}
 	}
-	for _, part := range c.excluded {
-		if r.names(part) && !slices.Contains(r.excluded, part) {
-			r.excluded, changed = append(r.excluded, part), true
+	return changed
+}
+
+// addParts adds the parts that are not known and that the row names, and reports whether there were any.
+func addParts(known *[]Part, parts []Part, names func(Part) bool) (changed bool) {
+	for _, part := range parts {
+		if names(part) && !slices.Contains(*known, part) {
+			*known, changed = append(*known, part), true
 		}
 	}
 	return changed
 }
 
-// names reports whether a suspect prompt contains the part.
-func (r *crashRow) names(part Part) bool {
-	return slices.ContainsFunc(r.suspects, func(p Prompt) bool { return slices.Contains(p, part) })
+// names reports whether a prompt without the begin of an answer contains the part.
+func (r *crashRow) names(part Part) bool { return promptsContain(r.suspects, part) }
+
+// namesAnywhere reports whether one of the prompts contains the part.
+func (r *crashRow) namesAnywhere(part Part) bool {
+	return r.names(part) || promptsContain(r.begun, part)
+}
+
+// promptsContain reports whether one of the prompts contains the part.
+func promptsContain(prompts []Prompt, part Part) bool {
+	return slices.ContainsFunc(prompts, func(p Prompt) bool { return slices.Contains(p, part) })
 }
 
 // crash returns the row as a message.
 func (r *crashRow) crash(now time.Time, id CrashID) Crash {
-	c := NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.excluded))
+	c := NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.excluded)).
+		WithBegun(slices.Clone(r.begun)).WithCleared(slices.Clone(r.cleared))
 	c.refuted = r.refuted
 	return c
 }
--- a/core/quarantine/system_attribute.go
+++ b/core/quarantine/system_attribute.go
@@ -16,6 +16,7 @@
 	// for answers; longer for a first part, which many prompts share.
 	settleTime          = 300 * time.Millisecond
 	firstPartSettleTime = time.Second
+	begunSettleTime     = 2 * time.Second // the same for answers that come to their end
 
 	shortQuarantine = 30 * time.Second // from the last crash
 	longQuarantine  = crashRetention
@@ -30,47 +31,139 @@
 	crashes []CrashID
 }
 
+// remove removes crashes that another part explains.
+func (c *candidate) remove(explained map[CrashID]bool) {
+	c.crashes = slices.DeleteFunc(c.crashes, func(id CrashID) bool { return explained[id] })
+}
+
+// settle returns how long a rejection of the part waits for begins of answers.
+func (c *candidate) settle() time.Duration {
+	if c.depth <= 0 {
+		return firstPartSettleTime
+	}
+	return settleTime
+}
+
+// attribution is the result of one derivation of the rejections from the crashes.
+type attribution struct {
+	view *View
+	next time.Time // when the rejections change without new evidence, zero for never
+}
+
 // attribute derives the rejections from the crashes. It also returns when the rejections change
 // next without new evidence, zero for never.
 //
+// Parts of requests whose answers had not begun are blamed first. Only for the crashes that none of
+// them explains are the requests considered whose answers had begun.
+func (w *World) attribute(now time.Time) (*View, time.Time) {
+	a := &attribution{view: &View{suspects: make(map[Part]bool), uncleared: make(map[Part]bool), crashed: w.crashedServers()}}
+	explained := w.attributeToUnbegun(now, a)
+	w.attributeToBegun(now, a, explained)
+	return a.view, a.next
+}
+
+// attributeToUnbegun blames parts of requests whose answers had not begun, and returns the crashes
+// that are explained so.
+//
 // A crash has one cause, but all parts of the suspect prompts are candidates. A part
 // further back in the prompts is more specific: a crash is attributed to the last part
 // that shares it with another crash, and among parts at the same position to the one with
 // the most crashes. So the first part of a prompt is blamed only for crashes under prompts
 // that have nothing else in common. A whole request is blamed last: if a part crashes
 // servers, other requests with it do so too.
-func (w *World) attribute(now time.Time) (*View, time.Time) {
-	view := &View{suspects: make(map[Part]bool), crashed: w.crashedServers()}
-	explained := make(map[CrashID]bool)
-	next := time.Time{}
-	for _, a := range w.candidateParts() {
-		view.suspects[a.part] = true
-		crashes := slices.DeleteFunc(a.crashes, func(id CrashID) bool { return explained[id] })
-		if len(crashes) < explainingCrashes {
+func (w *World) attributeToUnbegun(now time.Time, a *attribution) (explained map[CrashID]bool) {
+	explained, shared := make(map[CrashID]bool), make(map[CrashID]bool)
+	candidates := w.candidateParts((*crashRow).unbegunCandidates)
+	slices.SortFunc(candidates, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part))
+	})
+	for _, c := range candidates {
+		a.view.suspects[c.part] = true
+		c.remove(shared)
+		if len(c.crashes) < explainingCrashes {
 			continue
 		}
-		for _, id := range crashes {
-			explained[id] = true
+		for _, id := range c.crashes {
+			shared[id] = true
+			explained[id] = len(c.crashes) >= minCrashes
 		}
-		if len(crashes) < minCrashes {
-			continue
+		if len(c.crashes) >= minCrashes {
+			w.reject(now, a, c, c.settle())
+		}
+	}
+	return explained
+}
+
+// attributeToBegun blames parts of requests that were lost after the begin of their answers, for the
+// crashes that are not explained. A crash took many sound requests along with them, so the part with
+// the most crashes is blamed, and the more specific one of several. A part that lacks half of the crashes of its time is
+// not: servers that were killed together had requests in common.
+func (w *World) attributeToBegun(now time.Time, a *attribution, explained map[CrashID]bool) {
+	lost := w.lostAfterBegin()
+	candidates := w.candidateParts(func(row *crashRow, yield func(position int, part Part)) { row.begunCandidates(lost, yield) })
+	for _, c := range candidates {
+		a.view.uncleared[c.part] = true
+	}
+	for {
+		for _, c := range candidates {
+			c.remove(explained)
 		}
-		from, until := w.span(a, crashes)
-		rejection := Rejection{part: a.part, crashes: len(crashes), until: until, left: until.Sub(now), backends: backendsOf(crashes)}
-		change := until
-		switch {
-		case now.Before(from):
-			change = from
-		case now.Before(until):
-			view.rejections = append(view.rejections, rejection)
-		default:
+		candidates = slices.DeleteFunc(candidates, func(c *candidate) bool { return len(c.crashes) < minCrashes })
+		if len(candidates) == 0 {
+			return
+		}
+		c := slices.MinFunc(candidates, func(a, b *candidate) int {
+			return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
+		})
+		candidates = slices.DeleteFunc(candidates, func(other *candidate) bool { return other == c })
+		if 2*len(c.crashes) < w.unexplainedAround(c, explained) {
 			continue
 		}
-		if next.IsZero() || change.Before(next) {
-			next = change
+		w.reject(now, a, c, begunSettleTime)
+		for _, id := range c.crashes {
+			explained[id] = true
+		}
+	}
+}
+
+// unexplainedAround returns the number of crashes that are not explained, from the first to the last
+// one of a candidate.
+func (w *World) unexplainedAround(c *candidate, explained map[CrashID]bool) int {
+	first, last := w.crashes.Get(c.crashes[0]).happenedAt, time.Time{}
+	for _, id := range c.crashes {
+		at := w.crashes.Get(id).happenedAt
+		if at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	count := 0
+	w.crashes.Each(func(id CrashID, row *crashRow) {
+		if !row.refuted && !explained[id] && !row.happenedAt.Before(first) && !row.happenedAt.After(last) {
+			count++
 		}
+	})
+	return count
+}
+
+// reject adds the rejection of a part to the view while it is in force.
+func (w *World) reject(now time.Time, a *attribution, c *candidate, settle time.Duration) {
+	from, until := w.span(c, settle)
+	change := until
+	switch {
+	case now.Before(from):
+		change = from
+	case now.Before(until):
+		a.view.rejections = append(a.view.rejections,
+			Rejection{part: c.part, crashes: len(c.crashes), until: until, left: until.Sub(now), backends: backendsOf(c.crashes)})
+	default:
+		return
+	}
+	if a.next.IsZero() || change.Before(a.next) {
+		a.next = change
 	}
-	return view, next
 }
 
 // crashedServers returns the crashes that are not refuted.
@@ -84,43 +177,73 @@
 	return servers
 }
 
-// candidateParts returns the candidates in the order in which crashes are attributed to
-// them.
-func (w *World) candidateParts() []*candidate {
+// candidateParts returns the candidates among the parts that parts yields for each crash, with
+// their positions.
+func (w *World) candidateParts(parts func(row *crashRow, yield func(position int, part Part))) []*candidate {
 	byPart := make(map[Part]*candidate)
-	var parts []*candidate
+	var candidates []*candidate
 	w.crashes.Each(func(id CrashID, row *crashRow) {
 		if row.refuted {
 			return
 		}
-		for _, prompt := range row.suspects {
-			for depth, part := range prompt.positions() {
-				if slices.Contains(row.excluded, part) {
-					continue
-				}
-				a := byPart[part]
-				if a == nil {
-					a = &candidate{part: part, depth: -1}
-					byPart[part], parts = a, append(parts, a)
-				}
-				a.depth = max(a.depth, depth)
-				if n := len(a.crashes); n == 0 || a.crashes[n-1] != id {
-					a.crashes = append(a.crashes, id)
+		parts(row, func(position int, part Part) {
+			c := byPart[part]
+			if c == nil {
+				c = &candidate{part: part, depth: -1}
+				byPart[part], candidates = c, append(candidates, c)
+			}
+			c.depth = max(c.depth, position)
+			if n := len(c.crashes); n == 0 || c.crashes[n-1] != id {
+				c.crashes = append(c.crashes, id)
+			}
+		})
+	})
+	return candidates
+}
+
+// unbegunCandidates yields the parts that may have caused the crash before the begin of an answer.
+func (r *crashRow) unbegunCandidates(yield func(position int, part Part)) {
+	for _, prompt := range r.suspects {
+		for position, part := range prompt.positions() {
+			if !slices.Contains(r.excluded, part) && !slices.Contains(r.cleared, part) {
+				yield(position, part)
+			}
+		}
+	}
+}
+
+// begunCandidates yields the parts of lostAfterBegin that may have caused the crash. The begin of an
+// answer does not exclude them.
+func (r *crashRow) begunCandidates(lostAfterBegin map[Part]bool, yield func(position int, part Part)) {
+	for _, prompts := range [][]Prompt{r.suspects, r.begun} {
+		for _, prompt := range prompts {
+			for position, part := range prompt.positions() {
+				if lostAfterBegin[part] && !slices.Contains(r.cleared, part) {
+					yield(position, part)
 				}
 			}
 		}
+	}
+}
+
+// lostAfterBegin returns the parts of the requests that were lost after their answers had begun.
+func (w *World) lostAfterBegin() map[Part]bool {
+	lost := make(map[Part]bool)
+	w.crashes.Each(func(_ CrashID, row *crashRow) {
+		for _, prompt := range row.begun {
+			for _, part := range prompt {
+				lost[part] = true
+			}
+		}
 	})
-	slices.SortFunc(parts, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part))
-	})
-	return parts
+	return lost
 }
 
-// span returns from when and until when a part is quarantined for the given crashes.
-func (w *World) span(a *candidate, crashes []CrashID) (from, until time.Time) {
+// span returns from when and until when a part is quarantined.
+func (w *World) span(c *candidate, settle time.Duration) (from, until time.Time) {
 	var learned []time.Time
 	last := time.Time{}
-	for _, id := range crashes {
+	for _, id := range c.crashes {
 		row := w.crashes.Get(id)
 		learned = append(learned, row.learnedAt)
 		if row.happenedAt.After(last) {
@@ -128,12 +251,8 @@
 		}
 	}
 	slices.SortFunc(learned, time.Time.Compare)
-	settle := settleTime
-	if a.depth <= 0 {
-		settle = firstPartSettleTime
-	}
 	duration := shortQuarantine
-	if len(crashes) >= provenCrashes {
+	if len(c.crashes) >= provenCrashes {
 		duration = longQuarantine
 	}
 	return learned[minCrashes-1].Add(settle), last.Add(duration)
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -31,6 +31,7 @@
 type View struct {
 	rejections []Rejection
 	suspects   map[Part]bool
+	uncleared  map[Part]bool
 	crashed    map[CrashID]bool // incarnations of servers that are believed to have crashed
 }
 
@@ -42,7 +43,7 @@
 	if len(v.rejections) == 0 {
 		return v
 	}
-	later := &View{rejections: slices.Clone(v.rejections), suspects: v.suspects, crashed: v.crashed}
+	later := &View{rejections: slices.Clone(v.rejections), suspects: v.suspects, uncleared: v.uncleared, crashed: v.crashed}
 	for i := range later.rejections {
 		later.rejections[i].left = later.rejections[i].until.Sub(now)
 	}
@@ -66,6 +67,10 @@
 // it then matters.
 func (v *View) Suspect(part Part) bool { return v.suspects[part] }
 
+// Uncleared reports whether a part may have caused a known crash, before or after the begin of an
+// answer. An answer on it that comes to its end then matters.
+func (v *View) Uncleared(part Part) bool { return v.uncleared[part] }
+
 // Crashed reports whether an incarnation of a server is believed to have crashed. An answer
 // to a request that is sent to it afterwards refutes that.
 func (v *View) Crashed(id CrashID) bool { return v.crashed[id] }
--- a/core/quarantine/world.go
+++ b/core/quarantine/world.go
@@ -120,6 +120,16 @@
 	})
 }
 
+// Clear records that an answer on a part came to its end: it did not cause the crashes that are
+// known now, neither before nor after the begin of an answer.
+func (w *World) Clear(now time.Time, part Part) {
+	w.crashes.Each(func(id CrashID, row *crashRow) {
+		if row.namesAnywhere(part) {
+			w.Report(now, NewCrash(id, 0, nil, nil).WithCleared([]Part{part}))
+		}
+	})
+}
+
 // Refute records that a server answered after its crash was known: it did not crash.
 func (w *World) Refute(now time.Time, id CrashID) {
 	if w.crashes.Get(id) != nil {
--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -88,6 +88,104 @@
 	}
 }
 
+// begunObservation is one step of a test: a crash with requests whose answers had begun or not, or an
+// answer that begins or comes to its end on a part.
+type begunObservation struct {
+	suspects  []Prompt
+	begun     []Prompt
+	began     Prompt
+	completed Part
+	after     time.Duration // since the step before
+}
+
+// repeated returns n times the steps that the function returns.
+func repeated(n int, steps func(n int) []begunObservation) []begunObservation {
+	var all []begunObservation
+	for i := range n {
+		all = append(all, steps(i)...)
+	}
+	return all
+}
+
+// TestPartThatCrashesLaterIsQuarantined guards against a part that crashes backend servers after the
+// first event of an answer (review/10, BUDGET), and against the rejection of sound parts of the
+// requests that were lost with it.
+func TestPartThatCrashesLaterIsQuarantined(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	poison := func(int) []begunObservation {
+		return []begunObservation{{began: Prompt{request, "first", "poison"}, after: pause}, {begun: []Prompt{{request, "first", "poison"}}}}
+	}
+	sound := func(n int) []begunObservation {
+		return []begunObservation{{began: Prompt{request, "first", "poison"}, after: pause},
+			{begun: []Prompt{{unique(n), "first", "popular"}, {request, "first", "poison"}}, suspects: []Prompt{{"first", "popular"}}},
+			{completed: "first"}, {completed: "popular"}}
+	}
+	for _, test := range []struct {
+		name     string
+		steps    []begunObservation
+		wait     time.Duration // before the rejections are read
+		rejected []Part
+	}{
+		{"two crashes", repeated(2, poison), 3 * time.Second, nil},
+		{"three crashes", repeated(3, poison), begunSettleTime, []Part{"poison"}},
+		{"three crashes, at once", repeated(3, poison), begunSettleTime - 1, nil},
+		{"sound requests beside it", repeated(5, sound), begunSettleTime, []Part{"poison"}},
+		{"the begin is not always seen", repeated(6, func(n int) []begunObservation {
+			if n%2 == 0 {
+				return poison(n)
+			}
+			return []begunObservation{{suspects: []Prompt{{request, "first", "poison"}}, after: pause}, {completed: "first"}}
+		}), begunSettleTime, []Part{"poison"}},
+		{"whole request, its parts cleared", append(repeated(4, poison), begunObservation{completed: "poison"}, begunObservation{completed: "first"}), begunSettleTime, []Part{request}},
+		{"whole request without parts", repeated(3, func(int) []begunObservation {
+			return []begunObservation{{began: Prompt{request}, after: pause}, {begun: []Prompt{{request}}}}
+		}), begunSettleTime, []Part{request}},
+		{"answers came to their end meanwhile", append(repeated(5, poison), begunObservation{completed: request}, begunObservation{completed: "poison"}, begunObservation{completed: "first"}), begunSettleTime, nil},
+		{"answers came to their end before", append([]begunObservation{{completed: "poison"}}, repeated(3, poison)...), begunSettleTime, []Part{"poison"}},
+		{"servers that were killed together", repeated(9, func(n int) []begunObservation {
+			return []begunObservation{{begun: []Prompt{{"first", unique(n / 3)}, {"first", unique(100 + n)}}}, {completed: "first"}}
+		}), begunSettleTime, nil},
+		{"one part crashes early, another later", append(crashesBegun(3, "early"), repeated(3, poison)...), begunSettleTime, []Part{"early", "poison"}},
+		{"sound requests lost with a part that crashes early", repeated(4, func(n int) []begunObservation {
+			return []begunObservation{{suspects: []Prompt{{"first", "poison"}}, begun: []Prompt{{"first", "popular"}}, after: pause}}
+		}), begunSettleTime, []Part{"poison"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			w := New(1)
+			for n, s := range test.steps {
+				now = now.Add(s.after)
+				switch {
+				case s.began != nil:
+					for _, part := range s.began {
+						w.Exclude(now, part)
+					}
+				case s.completed != "":
+					w.Clear(now, s.completed)
+				default:
+					w.Report(now, NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, s.suspects, nil).WithBegun(s.begun))
+				}
+				w.Run(now)
+			}
+			now = now.Add(test.wait)
+			w.Run(now)
+			var rejected []Part
+			for _, v := range w.View().Rejections() {
+				rejected = append(rejected, v.Part())
+			}
+			c.Assert(rejected, qt.DeepEquals, test.rejected)
+		})
+	}
+}
+
+// crashesBegun returns n crashes before the begin of answers on a part.
+func crashesBegun(n int, part Part) []begunObservation {
+	return repeated(n, func(int) []begunObservation {
+		return []begunObservation{{suspects: []Prompt{{"other", part}}, after: time.Millisecond}}
+	})
+}
+
 // TestRefutedCrashesDoNotCount guards against parts that are rejected because a cut link
 // looked like crashes.
 func TestRefutedCrashesDoNotCount(t *testing.T) {
--- a/core/traffic/world_test.go
+++ b/core/traffic/world_test.go
@@ -125,6 +125,11 @@
 				w.step(AttemptFailed(id+1, FailureConnectionLost, errAttempt))
 			}
 		}, outcome.Refused, nil, "", 3},
+		{"crashes each server after a part of its answer", false, func(w *testWorld) {
+			for id := range uint64(3) {
+				w.step(AttemptText(id+1, "a ", 1), AttemptFailed(id+1, FailureConnectionLost, errAttempt))
+			}
+		}, outcome.Refused, nil, "", 3},
 		{"at most once, connection lost", true, func(w *testWorld) { w.step(AttemptFailed(1, FailureConnectionLost, errAttempt)) }, outcome.Unknown, nil, "", 1},
 		{"at most once, no token", true, func(w *testWorld) { w.now = w.now.Add(11 * time.Second); w.step() }, outcome.Unknown, nil, "", 1},
 		{"at most once, not sent", true, func(w *testWorld) {
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -173,6 +173,7 @@
 		entry.WithQuarantine(p.checkCrash,
 			func(c quarantine.Crash) { p.inbox.Post(cluster.ServerCrashed(c)) },
 			func(parts []quarantine.Part) { p.inbox.Post(cluster.AnswerBegan(parts)) },
+			func(parts []quarantine.Part) { p.inbox.Post(cluster.AnswerCompleted(parts)) },
 			func(id quarantine.CrashID) { p.inbox.Post(cluster.ServerAnswered(id)) }),
 		entry.WithProbe(func(backend, address string) {
 			go func() { p.traffic.Post(entry.ProbeEnded(backend, p.forward.CanConnect(context.Background(), address))) }()
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -82,7 +82,7 @@
 
 // Try sends the request to one server, with a reserved slot if there is one, and
 // copies its response. It calls onHeader when the header of a valid response has
-// arrived, and onBegin when the first bytes of its body have. It returns the status of
+// arrived, and onBegin when the first bytes of the body of a success have. It returns the status of
 // the attempt and the server's load report.
 func (r *Relay) Try(ctx context.Context, b member.Backend, slot string, onHeader func(entry.LoadReport), onBegin func()) (entry.AttemptStatus, entry.LoadReport) {
 	if r.events.lastID > 0 {
@@ -150,12 +150,13 @@
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
 	began, resumes := false, r.responseStarted
+	isSuccess := resp.response.StatusCode < http.StatusMultipleChoices // a failure may come without a run
 	meter := newAnswerMeter(resp.response, maxAnswerBytes)
 	meter.events = meter.events || resumable
 	for {
 		n, err := resp.response.Body.Read(buffer[:])
 		r.progress.Increment()
-		if n > 0 && !began {
+		if n > 0 && !began && isSuccess {
 			began = true
 			onBegin()
 		}
--- a/io/record/evidence.go
+++ b/io/record/evidence.go
@@ -18,6 +18,8 @@
 	Suspects    []quarantine.Prompt
 	Excluded    []quarantine.Part
 	Refuted     bool
+	Begun       []quarantine.Prompt
+	Cleared     []quarantine.Part
 }
 
 // toCrashes returns the wire format of crashes.
@@ -25,7 +27,7 @@
 	out := make([]crash, 0, len(crashes))
 	for _, c := range crashes {
 		out = append(out, crash{Backend: c.ID().Backend(), Incarnation: c.ID().Incarnation(), AgeMS: c.Age().Milliseconds(),
-			Suspects: c.Suspects(), Excluded: c.Excluded(), Refuted: c.Refuted()})
+			Suspects: c.Suspects(), Excluded: c.Excluded(), Refuted: c.Refuted(), Begun: c.Begun(), Cleared: c.Cleared()})
 	}
 	return out
 }
@@ -35,7 +37,8 @@
 	out := make([]quarantine.Crash, 0, len(wire))
 	for _, c := range wire {
 		age := time.Duration(max(c.AgeMS, 0)) * time.Millisecond
-		row := quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Excluded)
+		row := quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Excluded).
+			WithBegun(c.Begun).WithCleared(c.Cleared)
 		if c.Refuted {
 			row = row.AsRefuted()
 		}
