Free the place on a server however the handler of a request ends

Cause: the status went on to WriteHeader, which panics below 100, and the input that ends an attempt was posted on the ordinary way out only. So the row of the request and the place on the server stayed taken, here and in the totals by which items start.

Ruled out: mending the status alone (the next panic has the same result), and answering 502 for it (the attempt would count as answered). Change: one place, roundTrip in io/forward, decides what is no status of an answer (outside 200 to 599) for online requests, items and reservations; the attempt is lost and its connection closed. The end of an attempt is posted whatever ends its handler; a panic is logged with its stack. One in an attempt of an item no longer ends the process. serve: statuses were never passed on (rows added, passed before); its handler cancels the request after a panic too.

--- a/core/entry/request.go
+++ b/core/entry/request.go
@@ -149,11 +149,12 @@
 	AttemptCallerGone                           // the caller disconnected or its deadline passed
 	AttemptNoSlot                               // no slot could be reserved; nothing was sent
 	AttemptUnrecorded                           // the version could not be recorded in time; nothing was sent
+	AttemptAborted                              // its handler ended without a result; nobody waits for a decision
 )
 
 // String returns the name used in logs and metrics.
 func (s AttemptStatus) String() string {
-	names := [...]string{"unknown", "answered", "unreachable", "not run", "lost", "broken", "gone", "no slot", "not recorded"}
+	names := [...]string{"unknown", "answered", "unreachable", "not run", "lost", "broken", "gone", "no slot", "not recorded", "aborted"}
 	if int(s) >= len(names) {
 		return names[0]
 	}
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -32,7 +32,7 @@
 		w.recordEnd(row)
 	}
 	switch input.status {
-	case AttemptAnswered, AttemptCallerGone:
+	case AttemptAnswered, AttemptCallerGone, AttemptAborted:
 		event.RequestEnded.Log(w.logger, "request", row.request.id, "outcome", input.status.String(), "backend", row.backend,
 			"runs", row.startedAttempts+1, "first_ms", sinceArrival(row, row.headerAt), "ms", now.Sub(row.request.arrived).Milliseconds())
 		headerDelay := time.Duration(sinceArrival(row, row.headerAt)) * time.Millisecond
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -83,6 +83,8 @@
 	AnswerWithheld             = Event{413, slog.LevelInfo, "an answer was withheld because its server was started again"}
 	AttemptResumes             = Event{414, slog.LevelInfo, "an attempt goes on after the events that were sent to the caller"}
 	StreamRecordsResent        = Event{415, slog.LevelInfo, "records of streams were sent again to a control instance"}
+	StatusInvalid              = Event{416, slog.LevelWarn, "a response of a backend server has no status of an answer"}
+	HandlerPanicked            = Event{417, slog.LevelError, "the handler of a request or an item ended without a result"}
 	ItemAttemptEnded           = Event{420, slog.LevelInfo, "an attempt of a batch item ended"}
 	ItemPreempted              = Event{421, slog.LevelInfo, "a batch item was preempted by an online request"}
 	JobAbandoned               = Event{422, slog.LevelWarn, "the waiting items of a job were abandoned"}
@@ -115,7 +117,7 @@
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
-		RequestEnded, AttemptStarted, StreamNotRecorded, AnswerWithheld, AttemptResumes, StreamRecordsResent, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted, ServerEnded,
+		RequestEnded, AttemptStarted, StreamNotRecorded, AnswerWithheld, AttemptResumes, StreamRecordsResent, StatusInvalid, HandlerPanicked, ItemAttemptEnded, ItemPreempted, JobAbandoned, JobCallAnswered, RunnerChanged, ResultMismatch, ItemStalled, ItemAttemptStarted, JobRejected, ItemRestarted, ServerEnded,
 		ConfigApplied, OperatorCallAnswered, ConfigDocumentApplied,
 		UpstreamUnreachable, UpstreamSelected, InitialMembersProposed, MembersChanged,
 	}
--- a/io/caller/ask.go
+++ b/io/caller/ask.go
@@ -35,17 +35,19 @@
 		}
 	}
 	s.submit(r, events.Post, number.Store)
+	delivered := false
+	defer func() {
+		if !delivered { // also after a panic
+			s.cancel(account, number.Load())
+		}
+	}()
 	for {
 		received := events.Receive(ctx)
 		if received == nil {
-			s.cancel(account, number.Load())
 			return rpc.ConnectError(outcome.ErrCancelled)
 		}
 		final, err := s.sendEvents(stream, r.Key(), received)
-		if err != nil {
-			s.cancel(account, number.Load())
-		}
-		if final || err != nil {
+		if delivered = final && err == nil; final || err != nil {
 			return rpc.ConnectError(err)
 		}
 	}
--- a/io/engine/late_refusal_test.go
+++ b/io/engine/late_refusal_test.go
@@ -55,6 +55,7 @@
 		ofFirst    = "HTTP/1.1 503 Busy\r\nContent-Length: 23\r\n\r\n{\"id\":\"1\",\"error\":\"no\"}"
 		ofSecond   = "HTTP/1.1 503 Busy\r\nContent-Length: 23\r\n\r\n{\"id\":\"2\",\"error\":\"no\"}"
 		unnamed    = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+		noStatus   = "HTTP/1.1 000 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 30\r\n\r\ndata: {\"id\":\"1\",\"done\":true}\n\n"
 		impossible = "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"
 	)
 	for _, test := range []struct {
@@ -67,6 +68,7 @@
 		{"names none, on a kept connection", []string{answer, unnamed}, traffic.FailureConnectionLost},
 		{"rejection that names none, on a kept connection", []string{answer, impossible}, traffic.FailureConnectionLost},
 		{"names none, on a new connection", []string{unnamed}, traffic.FailureBusy},
+		{"status of no answer", []string{noStatus}, traffic.FailureConnectionLost},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -52,6 +52,12 @@
 	p.itemAttempts.add(a.Number(), cancel)
 	go func() {
 		defer p.itemAttempts.remove(a.Number())
+		defer func() {
+			if cause := recover(); cause != nil { // the other work of this process goes on
+				p.logPanic(a.Item().ID(), cause)
+				p.inbox.Post(cluster.AttemptEnded(runner.NewAttemptReport(a.Number(), runner.AttemptInterrupted, nil, a.LastEvent())))
+			}
+		}()
 		ctx, span := p.spans.item(ctx, a)
 		item := a.Item()
 		header := make(http.Header)
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -82,14 +84,7 @@
 		if d.Action() != entry.ActionSend {
 			return Failure{action: d.Action(), retryAfter: d.RetryAfter(), responseStarted: relay.ResponseStarted()}, false
 		}
-		attemptCtx, cancel := current.begin(ctx)
-		status, load := p.attempt(attemptCtx, relay, online.request, d)
-		if status == entry.AttemptCallerGone && attemptCtx.Err() != nil && ctx.Err() == nil {
-			status = abandonedStatus(relay)
-		}
-		cancel()
-		p.traffic.Post(entry.AttemptEnded(d.Number(), status, load))
-		switch status {
+		switch p.runAttempt(ctx, &current, relay, online.request, d) {
 		case entry.AttemptAnswered:
 			return Failure{}, true
 		case entry.AttemptCallerGone:
@@ -98,6 +93,31 @@
 	}
 }
 
+// runAttempt makes one attempt and tells the traffic thread how it ended, also if the handler panics:
+// the row of the request and its place on the server would be kept for good.
+func (p *Process) runAttempt(ctx context.Context, current *currentAttempt, relay *forward.Relay, request entry.Request, d entry.Decision) (status entry.AttemptStatus) {
+	attemptCtx, cancel := current.begin(ctx)
+	status, load := entry.AttemptAborted, entry.LoadReport{}
+	defer func() {
+		cancel()
+		p.traffic.Post(entry.AttemptEnded(d.Number(), status, load))
+		if status == entry.AttemptAborted {
+			p.logPanic(request.ID(), recover())
+			panic(http.ErrAbortHandler) // a partial response must not look complete
+		}
+	}()
+	status, load = p.attempt(attemptCtx, relay, request, d)
+	if status == entry.AttemptCallerGone && attemptCtx.Err() != nil && ctx.Err() == nil {
+		status = abandonedStatus(relay)
+	}
+	return status
+}
+
+// logPanic logs what ended a handler.
+func (p *Process) logPanic(request string, cause any) {
+	event.HandlerPanicked.Log(p.logger, "request", request, "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+}
+
 // attempt makes one attempt, in a reserved slot if the decision says so.
 func (p *Process) attempt(ctx context.Context, relay *forward.Relay, request entry.Request, d entry.Decision) (status entry.AttemptStatus, load entry.LoadReport) {
 	ctx, span := p.spans.attempt(ctx, d)
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -210,11 +209,9 @@
 		metadata.timeLeft = r.deadline.Sub(c.now())
 	}
 	c.codec.setMetadata(out.Header, metadata)
-	var used httptrace.GotConnInfo
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used, sent = info, true }}
-	response, err := c.transport.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	response, used, err := c.roundTrip(out.WithContext(ctx), r.id, b.ID())
 	if err != nil {
-		return nil, sent
+		return nil, used.Conn != nil
 	}
 	header := c.codec.readHeader(r.id, response.StatusCode, response.Header)
 	header.load = header.load.WithIdleTimeout(keepAliveTimeout(response.Header))
--- a/io/forward/reserve.go
+++ b/io/forward/reserve.go
@@ -71,7 +71,7 @@
 		return Reservation{}, false
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.transport.RoundTrip(request)
+	response, _, err := c.roundTrip(request, "", b.ID())
 	if err != nil {
 		return Reservation{}, false
 	}
--- a/io/plain/late_refusal_test.go
+++ b/io/plain/late_refusal_test.go
@@ -31,6 +31,7 @@
 		{"names this call", []string{answer, ofSecond}, traffic.FailureBusy},
 		{"names none, on a kept connection", []string{answer, unnamed}, traffic.FailureConnectionLost},
 		{"names none, on a new connection", []string{unnamed}, traffic.FailureBusy},
+		{"status of no answer", []string{"HTTP/1.1 000 OK\r\nContent-Length: 23\r\n\r\n{\"id\":\"1\",\"output\":\"x\"}"}, traffic.FailureConnectionLost},
 		{"answer of the earlier call", []string{answer, answer}, traffic.FailureConnectionLost},
 	} {
 		t.Run(test.name, func(t *testing.T) {
