Record the streams of all versions whose order an instance does not know

Cause: the entry took the moments at which it first saw two versions for those at which they came. Started just before, it saw both together, called neither the later one, and began streams on both without a record, of which the control instances conclude the earlier version.

Ruled out: always recording (no resumable stream without contact), and the starts that servers announce (v1 restarts too). Change: the history keeps when all servers were last known before a version was seen; a version must be recorded if another one in use may have come 3 s before it. That covers loss of contact and three versions, which have the same cause.

--- a/core/cluster/cluster_test.go
+++ b/core/cluster/cluster_test.go
@@ -222,6 +222,9 @@
 			n.inbox = append(n.inbox, Synced(sequence))
 		}),
 		WithSend(func(p Packet) { s.deliver(n, p) }), WithPublish(func(x *Snapshot) { n.snapshot = x })}
+	if first {
+		options = append(options, WithFirstStart())
+	}
 	if n.role != directory.RoleEntry {
 		options = append(options, WithLedgers(s.host(n, first)))
 	}
--- a/core/cluster/stream_test.go
+++ b/core/cluster/stream_test.go
@@ -111,6 +111,49 @@
 	check(false, stream.Deduced, "v2")
 }
 
+// TestRestartedEntryRecordsFirst guards against an entry instance that was started just before a
+// second version came and begins streams on both without a record (review/9, ORDER).
+func TestRestartedEntryRecordsFirst(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before time.Duration // from the start of the instance to the second version
+		must   map[string]bool
+	}{
+		{"started after the second version", -time.Second, map[string]bool{"v1": true, "v2": true}},
+		{"started just before", 2 * time.Second, map[string]bool{"v1": true, "v2": true}},
+		{"started long before", 8 * time.Second, map[string]bool{"v1": false, "v2": true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 0)
+			s.run(4 * time.Second)
+			start := func() { s.start(s.instance("e0"), false) }
+			announce := func(d time.Duration, versions ...string) {
+				for end := s.now.Add(d); s.now.Before(end); {
+					for _, version := range versions {
+						s.announceVersion("c0", "b-"+version, version, uint64(s.now.UnixMilli()))
+					}
+					s.run(500 * time.Millisecond)
+				}
+			}
+			announce(34*time.Second, "v1")
+			if test.before > 0 {
+				start()
+				announce(test.before, "v1")
+			}
+			announce(time.Second, "v1", "v2")
+			if test.before < 0 {
+				start()
+				announce(time.Second, "v1", "v2")
+			}
+			for version, must := range test.must {
+				s.c.Check(s.instance("e0").snapshot.Versions("s").MustRecord(version), qt.Equals, must, qt.Commentf(version))
+			}
+			s.c.Check(s.instance("e1").snapshot.Versions("s").MustRecord("v1"), qt.IsFalse)
+			s.c.Check(s.instance("e1").snapshot.Versions("s").MustRecord("v2"), qt.IsTrue)
+		})
+	}
+}
+
 // TestRequiredRecord checks when a record counts as confirmed that other instances must not miss,
 // and that they find it whichever of them answer.
 func TestRequiredRecord(t *testing.T) {
--- a/core/cluster/system_stream.go
+++ b/core/cluster/system_stream.go
@@ -54,6 +54,7 @@
 			}
 		})
 		k.history.Run(now)
+		k.history.ContactedAt(w.lastLeaderContact())
 	}
 	if len(k.pending) > 0 {
 		w.sendRecords(now)
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -104,6 +104,9 @@
 // WithSeeds sets the peer addresses of the control instances to contact first.
 func WithSeeds(addresses []string) Option { return func(w *World) { w.seeds = addresses } }
 
+// WithFirstStart says that the whole deployment starts for the first time.
+func WithFirstStart() Option { return func(w *World) { w.streams.history.BeginDeployment() } }
+
 // WithLedgers sets the ledger that the instance hosts: the control ledger at
 // control instances, the jobs ledger at store instances.
 func WithLedgers(ledgers *ledger.World) Option { return func(w *World) { w.ledgers = ledgers } }
--- a/core/stream/history.go
+++ b/core/stream/history.go
@@ -13,11 +13,11 @@
 // VersionUse says which software versions of a service's servers take requests.
 type VersionUse struct {
 	mixed bool
-	later []string // versions that came while another one was in use
+	later []string // versions that came, or may have come, while another one was in use
 }
 
 // NewVersionUse returns the use of versions. mixed says that there are several, or may be;
-// later are those that came lately while another one was in use.
+// later are those that came lately, or may have come, while another one was in use.
 func NewVersionUse(mixed bool, later ...string) VersionUse {
 	return VersionUse{mixed: mixed, later: later}
 }
@@ -41,6 +41,7 @@
 // versionRow is the time in which servers of a version were known.
 type versionRow struct {
 	firstSeen time.Time
+	notBefore time.Time // before firstSeen; when no server was known yet, zero if that is not known
 	lastSeen  time.Time // with a server that took requests
 	knownAt   time.Time // when a server was known last, also one that takes none
 }
@@ -48,8 +49,10 @@
 // History knows when servers of which versions took new requests. While a service has one
 // version only, its streams need no records: History tells which version that was.
 type History struct {
-	startedAt time.Time
-	rows      *table.Table[versionKey, versionRow]
+	startedAt   time.Time
+	firstStart  bool      // of the whole deployment: nothing was in use before
+	lastContact time.Time // with what knows all servers, when they were observed last
+	rows        *table.Table[versionKey, versionRow]
 }
 
 // NewHistory returns a history that begins now.
@@ -57,12 +60,36 @@
 	return &History{startedAt: now, rows: table.New[versionKey, versionRow]()}
 }
 
+// BeginDeployment says that the whole deployment starts with this history: no version was in use
+// before.
+func (h *History) BeginDeployment() { h.firstStart = true }
+
+// ContactedAt says that all servers were observed that were known at a time to the instances that
+// know all.
+func (h *History) ContactedAt(at time.Time) {
+	if at.After(h.lastContact) {
+		h.lastContact = at
+	}
+}
+
+// notBefore returns a time at which a version was not in use that is seen for the first time now,
+// zero if it may have been in use all along.
+func (h *History) notBefore(now time.Time) time.Time {
+	switch {
+	case now.Sub(h.startedAt) >= settleTime:
+		return h.lastContact
+	case h.firstStart:
+		return h.startedAt
+	}
+	return time.Time{}
+}
+
 // Observe records that a server of a version is known, and whether it takes new requests.
 func (h *History) Observe(now time.Time, service, version string, takesRequests bool) {
 	key := versionKey{service, version}
 	row := h.rows.Get(key)
 	if row == nil {
-		row = h.rows.Put(key, versionRow{firstSeen: now, lastSeen: now})
+		row = h.rows.Put(key, versionRow{firstSeen: now, notBefore: h.notBefore(now), lastSeen: now})
 	}
 	row.knownAt = now
 	if takesRequests {
@@ -97,13 +124,19 @@
 // longer than Retention, since other instances may learn of it later.
 const laterTime = Retention + 2*settleTime
 
-// laterVersions returns the versions that came within laterTime, while an earlier one was in
-// use that still is. Other instances conclude the earlier version of streams without a record.
+// minLead is the time by which a version must be the earlier one for others to conclude it. They
+// require settleTime by their own observations, which may differ by the rest.
+const minLead = settleTime - 2*time.Second
+
+// laterVersions returns the versions that came within laterTime and before which another one may
+// have been in use that still is. Other instances may conclude the earlier version of streams
+// without a record. An instance that was started or out of contact when two versions came does not
+// know which is the earlier one, so both count as later.
 func laterVersions(now time.Time, recent []recentVersion) []string {
 	var later []string
 	for _, v := range recent {
-		hasEarlier := slices.ContainsFunc(recent, func(earlier recentVersion) bool {
-			return v.firstSeen.Sub(earlier.firstSeen) >= settleTime && now.Sub(earlier.lastSeen) < settleTime
+		hasEarlier := slices.ContainsFunc(recent, func(other recentVersion) bool {
+			return other.version != v.version && v.firstSeen.Sub(other.notBefore) >= minLead && now.Sub(other.lastSeen) < settleTime
 		})
 		if hasEarlier && now.Sub(v.firstSeen) < laterTime {
 			later = append(later, v.version)
@@ -141,10 +174,12 @@
 	return h.Unrecorded(now, service)
 }
 
-// recentVersion is a version, when its first server was seen, and when one took requests last.
+// recentVersion is a version, when its first server was seen and at the earliest came, and when one
+// took requests last.
 type recentVersion struct {
 	version   string
 	firstSeen time.Time
+	notBefore time.Time
 	lastSeen  time.Time
 }
 
@@ -154,7 +189,7 @@
 	var versions []recentVersion
 	h.rows.Each(func(key versionKey, row *versionRow) {
 		if key.service == service && now.Sub(row.lastSeen) <= within {
-			versions = append(versions, recentVersion{version: key.version, firstSeen: row.firstSeen, lastSeen: row.lastSeen})
+			versions = append(versions, recentVersion{version: key.version, firstSeen: row.firstSeen, notBefore: row.notBefore, lastSeen: row.lastSeen})
 		}
 	})
 	slices.SortFunc(versions, func(a, b recentVersion) int { return a.firstSeen.Compare(b.firstSeen) })
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -92,6 +92,7 @@
 					}
 				}
 				h.Run(start.Add(at))
+				h.ContactedAt(start.Add(at))
 			}
 			c.Check(h.InUse(start.Add(test.now))["s"].Mixed(), qt.Equals, test.mixed)
 			answer := h.Unrecorded(start.Add(test.now), "s")
@@ -104,6 +105,66 @@
 	}
 }
 
+// TestVersionsThatMustBeRecorded guards against streams that begin without a record on a version
+// which others conclude not to have begun them: the instance was started, or out of contact, when
+// two versions came, and does not know which is the earlier one (review/9, ORDER).
+func TestVersionsThatMustBeRecorded(t *testing.T) {
+	type use struct {
+		version  string
+		from, to time.Duration // since the start of the instance
+	}
+	const second = time.Second
+	for _, test := range []struct {
+		name       string
+		firstStart bool
+		lost       time.Duration // contact, for lostFor
+		lostFor    time.Duration
+		now        time.Duration
+		uses       []use
+		want       []string
+	}{
+		{"one version", false, 0, 0, 2 * second, []use{{"v1", second, 2 * second}}, nil},
+		{"started just before the second version", false, 0, 0, 4 * second, []use{{"v1", second, 4 * second}, {"v2", 3 * second, 4 * second}}, []string{"v1", "v2"}},
+		{"started just after the second version", false, 0, 0, 2 * second, []use{{"v1", second, 2 * second}, {"v2", second, 2 * second}}, []string{"v1", "v2"}},
+		{"started just before two more versions", false, 0, 0, 4 * second, []use{{"v1", second, 4 * second}, {"v2", 2 * second, 4 * second}, {"v3", 3 * second, 4 * second}}, []string{"v1", "v2", "v3"}},
+		{"started long before the second version", false, 0, 0, 9 * second, []use{{"v1", second, 9 * second}, {"v2", 8 * second, 9 * second}}, []string{"v2"}},
+		{"started long before two more versions", false, 0, 0, 9 * second, []use{{"v1", second, 9 * second}, {"v2", 8 * second, 9 * second}, {"v3", 8 * second, 9 * second}}, []string{"v2", "v3"}},
+		{"both versions longer than streams are kept", false, 0, 0, laterTime + 2*second, []use{{"v1", second, laterTime + 2*second}, {"v2", second, laterTime + 2*second}}, nil},
+		{"the second version came while others may conclude that the first was alone", false, 0, 0, 25 * second, []use{{"v1", 20 * second, 25 * second}, {"v2", 24 * second, 25 * second}}, []string{"v2"}},
+		{"both came together", false, 0, 0, 25 * second, []use{{"v1", 20 * second, 25 * second}, {"v2", 21 * second, 25 * second}}, nil},
+		{"both came while the instance had no contact", false, 10 * second, 10 * second, 21 * second, []use{{"v1", 20 * second, 21 * second}, {"v2", 20 * second, 21 * second}}, []string{"v1", "v2"}},
+		{"the second came while the instance had no contact", false, 10 * second, 10 * second, 21 * second, []use{{"v1", second, 21 * second}, {"v2", 20 * second, 21 * second}}, []string{"v2"}},
+		{"first start with both versions", true, 0, 0, 3 * second, []use{{"v1", second, 3 * second}, {"v2", 2 * second, 3 * second}}, nil},
+		{"first start, the second version later", true, 0, 0, 9 * second, []use{{"v1", second, 9 * second}, {"v2", 8 * second, 9 * second}}, []string{"v2"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			h := NewHistory(start)
+			if test.firstStart {
+				h.BeginDeployment()
+			}
+			for at := time.Duration(0); at <= test.now; at += 100 * time.Millisecond {
+				for _, u := range test.uses {
+					if at >= u.from && at <= u.to {
+						h.Observe(start.Add(at), "s", u.version, true)
+					}
+				}
+				h.Run(start.Add(at))
+				if at < test.lost || at >= test.lost+test.lostFor {
+					h.ContactedAt(start.Add(at))
+				}
+			}
+			var must []string
+			for _, version := range []string{"v1", "v2", "v3"} {
+				if h.InUse(start.Add(test.now))["s"].MustRecord(version) {
+					must = append(must, version)
+				}
+			}
+			qt.Assert(t, must, qt.DeepEquals, test.want)
+		})
+	}
+}
+
 // TestCopies checks that any instances which are enough for a conclusion include one with a record.
 func TestCopies(t *testing.T) {
 	for instances := 1; instances < 40; instances++ {
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -66,6 +66,9 @@
 			runner.WithLimits(func(now time.Time, b member.Backend) (int, bool) { return p.controlWorld.ItemRoom(now, b) }),
 			runner.WithOnline(func(backend string) int { return p.controlWorld.OnlineRequests(backend) }))))
 	}
+	if p.settings.FirstStart() {
+		options = append(options, cluster.WithFirstStart())
+	}
 	p.controlWorld = cluster.New(now, self, record.NewClusterCodec(), p.front.decode, options...)
 }
 
--- a/io/settings/fleet.go
+++ b/io/settings/fleet.go
@@ -182,6 +182,9 @@
 	return net.JoinHostPort(host, strconv.Itoa(port))
 }
 
+// FirstStart reports whether the whole deployment starts for the first time.
+func (f *Fleet) FirstStart() bool { return f.content.FirstStart }
+
 // IsInitialMember reports whether this instance is an initial member of the control
 // ledger: it is a seed, and this is the first start of the whole deployment.
 func (f *Fleet) IsInitialMember() bool {
