Report a reset to the reading side too when the writing side got it

Cause: the kernel reports a reset once. If the side that writes the request gets it, the side that reads the answer sees a regular end.

Ruled out: waiting for the whole request to be written (servers may answer early and read on). Change: connections to servers keep the error of the writing side and report it at the end; EPIPE, a reset after a regular end, is none.

--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -148,6 +148,14 @@
 	for _, option := range options {
 		option(c)
 	}
+	dial := c.transport.DialContext
+	c.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return socket.NewClientConn(conn), nil
+	}
 	return c
 }
 
