--- a/core/runner/attempt.go
+++ b/core/runner/attempt.go
@@ -138,12 +138,6 @@
 	leadershipEpoch uint64 // in which the attempt started
 }
 
-// endedRow is the incarnation of a server whose process has ended.
-type endedRow struct {
-	incarnation uint64
-	until       time.Time // until when the server may still count as alive by its announcements
-}
-
 // backoffRow is the time until which a server gets no items.
 type backoffRow struct {
 	until               time.Time
--- a/core/runner/system_fill.go
+++ b/core/runner/system_fill.go
@@ -68,7 +68,7 @@
 	free := make(map[string]int)
 	for _, s := range w.servers {
 		id := s.Backend().ID()
-		if b := w.backoffs.Get(id); s.Stale() || (b != nil && now.Before(b.until)) || w.hasEnded(now, s.Backend()) {
+		if b := w.backoffs.Get(id); s.Stale() || (b != nil && now.Before(b.until)) || w.ended.Has(now, s.Backend()) {
 			continue
 		}
 		headroom, pause := w.headroom(now, id)
--- a/core/runner/version_test.go
+++ b/core/runner/version_test.go
@@ -93,7 +93,7 @@
 		{"only the link failed", AttemptUnreachable, 1, "v1", 2 * time.Second, true, 30},
 		{"new start, same version", AttemptServerEnded, 2, "v1", 2 * time.Second, true, 30},
 		{"new start, other version", AttemptServerEnded, 2, "v2", 2 * time.Second, true, 0},
-		{"still announces the first start much later", AttemptServerEnded, 1, "v1", endedTime, true, 30},
+		{"still announces the first start much later", AttemptServerEnded, 1, "v1", member.EndedTime, true, 30},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := newTestRunner(t, 1, 0)
--- a/core/runner/world.go
+++ b/core/runner/world.go
@@ -55,7 +55,7 @@
 	progress        *table.Table[itemKey, progressRow]
 	running         *table.Table[uint64, runningRow]
 	backoffs        *table.Table[string, backoffRow]
-	ended           *table.Table[string, endedRow]  // by server
+	ended           *member.Ended
 	runningItems    map[string]int                  // by server
 	preemptedAt     *table.Table[string, time.Time] // last preemption, by server
 	outputs         []batch.ItemOutput
@@ -112,7 +112,7 @@
 		acceptedAt: make(map[string]time.Time),
 		jobs:       table.New[string, jobRow](), progress: table.New[itemKey, progressRow](),
 		running: table.New[uint64, runningRow](), backoffs: table.New[string, backoffRow](),
-		preemptedAt: table.New[string, time.Time](), ended: table.New[string, endedRow](),
+		preemptedAt: table.New[string, time.Time](), ended: member.NewEnded(),
 		runningItems: make(map[string]int), estimate: newEstimate(),
 	}
 	for _, option := range options {
