Keep streams off servers whose process has ended until they announce a start

Cause: a server that accepts connections after a crash was used again with the version of the start that was known. That its process had ended was found out already, but used only for requests that crash servers.

Ruled out: waiting for an announcement after each failure (links fail too), and believing another entry's report alone. Checks are also made when no connection can be opened for a resumable request, and when another entry reports a crash.

--- a/core/entry/system_choose.go
+++ b/core/entry/system_choose.go
@@ -53,7 +53,8 @@
 	var servers []directory.Server
 	for _, s := range w.snapshot().Servers() {
 		id := s.Backend().ID()
-		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) || !row.stream.continuesOn(s.Backend()) {
+		if !s.Backend().Runs(row.request.service) || slices.Contains(row.tried, id) || !row.stream.continuesOn(s.Backend()) ||
+			!w.mayRunOn(now, row, s.Backend()) {
 			continue
 		}
 		if now.Before(w.unrecordedUntil) && w.needsRecord(row, s.Backend().Version()) {
--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -60,11 +60,7 @@
 		return
 	}
 	id := quarantine.NewCrashID(row.backend, row.incarnation)
-	check := w.crashChecks.Get(id)
-	if check == nil {
-		check = w.crashChecks.Put(id, crashCheckRow{})
-		w.checkCrash(id, w.server(row.backend).address, w.comparableServers(row))
-	}
+	check := w.startCrashCheck(id, w.server(row.backend).address, w.comparableServers(row))
 	if row.answerBegan {
 		check.begun = append(check.begun, row.request.prompt)
 		return
@@ -73,7 +69,7 @@
 }
 
 // endCrashCheck handles the result of a check.
-func (w *World) endCrashCheck(id quarantine.CrashID, crashed bool) {
+func (w *World) endCrashCheck(now time.Time, id quarantine.CrashID, crashed bool) {
 	check := w.crashChecks.Get(id)
 	if check == nil {
 		return
@@ -82,6 +78,10 @@
 	if !crashed {
 		return
 	}
+	w.recordEnded(now, id)
+	if len(check.suspects)+len(check.begun) == 0 {
+		return
+	}
 	event.ServerCrashed.Log(w.logger, "backend", id.Backend(), "incarnation", id.Incarnation(), "suspects", check.suspects, "begun", check.begun)
 	w.reportCrash(quarantine.NewCrash(id, 0, check.suspects, nil).WithBegun(check.begun))
 }
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -41,6 +41,8 @@
 		return
 	case AttemptNoSlot:
 		row.rejections++
+	case AttemptUnreachable:
+		w.checkRefusal(row)
 	case AttemptUnrecorded:
 		w.unrecordedUntil = now.Add(unrecordedPause)
 	case AttemptLost, AttemptInterrupted:
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayaquay/core/cluster"
+	"papayaquay/core/member"
 	"papayaquay/core/quarantine"
 	"papayaquay/core/stream"
 	"papayaquay/core/table"
@@ -53,6 +54,9 @@
 	unrecordedUntil    time.Time       // until when no records of streams are expected to be confirmed
 	servers            *table.Table[string, serverRow]
 	crashChecks        *table.Table[quarantine.CrashID, crashCheckRow]
+	reportedCrashes    *table.Table[quarantine.CrashID, struct{}] // of other instances, that were checked here
+	checkedSnapshot    *cluster.Snapshot                          // the last one whose crashes were checked
+	ended              *member.Ended
 	lastNumber         uint64
 	inFlightChanged    bool // the number of requests in flight changed in this tick
 	nextWatch          time.Time
@@ -122,7 +126,7 @@
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
 		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, clear: func([]quarantine.Part) {}, reportLeave: func(string, uint64) {}, findStream: func(uint64, stream.Query) {}, began: stream.NewRecords(),
-		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), dataCentreProbedAt: make(map[string]time.Time),
+		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), reportedCrashes: table.New[quarantine.CrashID, struct{}](), ended: member.NewEnded(), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
 		option(w)
@@ -144,13 +148,14 @@
 		case input.began:
 			w.recordBegin(now, input.number)
 		case input.check != nil:
-			w.endCrashCheck(*input.check, input.crashed)
+			w.endCrashCheck(now, *input.check, input.crashed)
 		case input.status != 0:
 			w.endAttempt(now, input)
 		case input.probed != "":
 			w.endProbe(now, input.probed, input.reached)
 		}
 	}
+	w.checkReportedCrashes()
 	w.watch(now)
 	if w.inFlightChanged {
 		w.report(w.running(now))
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -75,6 +75,9 @@
 // to a request that is sent to it afterwards refutes that.
 func (v *View) Crashed(id CrashID) bool { return v.crashed[id] }
 
+// HasCrashes reports whether any server is believed to have crashed.
+func (v *View) HasCrashes() bool { return len(v.crashed) > 0 }
+
 // rejection returns the rejection on a part.
 func (v *View) rejection(part Part) (Rejection, bool) {
 	for _, rejection := range v.rejections {
--- a/io/fleet/online.go
+++ b/io/fleet/online.go
@@ -143,7 +143,8 @@
 		}
 		return entry.AttemptUnrecorded, entry.LoadReport{}
 	}
-	relay.Hold(func(ctx context.Context) bool { return p.mayBegin(ctx, request, d, recorded) })
+	crashedBefore := p.Snapshot().Quarantine().Crashed(crashID(d))
+	relay.Hold(func(ctx context.Context) bool { return p.mayBegin(ctx, request, d, recorded, crashedBefore) })
 	return relay.Try(ctx, d.Backend(), slot, func(l entry.LoadReport) { p.traffic.Post(entry.HeaderReceived(d.Number(), l)) },
 		func() { p.traffic.Post(entry.AnswerBegan(d.Number())) })
 }
--- a/io/fleet/stream.go
+++ b/io/fleet/stream.go
@@ -7,6 +7,7 @@
 	"papayaquay/core/cluster"
 	"papayaquay/core/entry"
 	"papayaquay/core/event"
+	"papayaquay/core/quarantine"
 	"papayaquay/core/stream"
 )
 
@@ -46,13 +47,20 @@
 
 // mayBegin reports whether the answer of a server may reach the caller. It waits until the
 // version is recorded; an instance without contact to control instances serves
-// nevertheless, unless the record was required before the request was sent. A server that was
-// started again since the choice may have another version.
-func (p *Process) mayBegin(ctx context.Context, request entry.Request, d entry.Decision, recorded <-chan struct{}) bool {
+// nevertheless, unless the record was required before the request was sent. A server that crashed or
+// was started again since the choice may have another version.
+// crashedBefore tells whether it was believed to have crashed when the request was sent.
+func (p *Process) mayBegin(ctx context.Context, request entry.Request, d entry.Decision, recorded <-chan struct{}, crashedBefore bool) bool {
 	if !p.awaitRecord(ctx, request, d, recorded) && ctx.Err() != nil {
 		return false
 	}
-	for _, s := range p.snapshot.Load().Servers() {
+	snapshot := p.snapshot.Load()
+	if snapshot.Quarantine().Crashed(crashID(d)) && !crashedBefore {
+		event.AnswerWithheld.Log(p.logger, "request", request.ID(), "backend", d.Backend().ID(), "attempt", d.Attempt(),
+			"chosen", d.Backend().Incarnation(), "crashed", true)
+		return false
+	}
+	for _, s := range snapshot.Servers() {
 		if s.Backend().ID() == d.Backend().ID() && s.Backend().Incarnation() > d.Backend().Incarnation() {
 			event.AnswerWithheld.Log(p.logger, "request", request.ID(), "backend", d.Backend().ID(), "attempt", d.Attempt(),
 				"chosen", d.Backend().Incarnation(), "known", s.Backend().Incarnation())
@@ -61,3 +69,8 @@
 	}
 	return true
 }
+
+// crashID returns the id of a crash of the server of an attempt.
+func crashID(d entry.Decision) quarantine.CrashID {
+	return quarantine.NewCrashID(d.Backend().ID(), d.Backend().Incarnation())
+}
