Check at once whether the server of a lost item has ended

Cause: the end of a process was looked for only when an item found the port closed, and only if a server without a recent failure in the same data centre could be asked for comparison.

Ruled out: taking a refused connection alone as the end (a cut link refuses, too). Change: the check is made when an item is lost as well, once for all items that are lost together (x/sync/singleflight), and servers that failed lately are asked after the others.

--- a/core/runner/system_ended.go
+++ b/core/runner/system_ended.go
@@ -21,17 +21,20 @@
 	w.ended.Record(now, row.backend, row.incarnation)
 }
 
-// peers returns the addresses of other servers in the data centre of a server that work.
+// peers returns the addresses of other servers in the data centre of a server, those first that
+// work. One that failed lately may accept connections all the same.
 func peers(b member.Backend, servers []directory.Server, failing func(backend string) bool) []string {
-	var addresses []string
+	var working, others []string
 	for _, s := range servers {
 		other := s.Backend()
-		if other.ID() == b.ID() || other.DataCentre() != b.DataCentre() || s.Stale() || failing(other.ID()) {
-			continue
-		}
-		if addresses = append(addresses, other.Address()); len(addresses) == maxPeers {
-			break
+		switch {
+		case other.ID() == b.ID() || other.DataCentre() != b.DataCentre() || s.Stale():
+		case failing(other.ID()):
+			others = append(others, other.Address())
+		default:
+			working = append(working, other.Address())
 		}
 	}
-	return addresses
+	addresses := append(working, others...)
+	return addresses[:min(len(addresses), maxPeers)]
 }
--- a/core/runner/version_test.go
+++ b/core/runner/version_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,3 +134,35 @@
 		r.world.ResultApplied(j, output)
 	}
 }
+
+// TestPeers checks which servers are asked whether it is the link that refuses connections: those
+// that work first, and others rather than none.
+func TestPeers(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		others  map[string]string // data centre by id
+		failing map[string]bool
+		want    []string
+	}{
+		{"none", nil, nil, []string{}},
+		{"another data centre", map[string]string{"x": "z1"}, nil, []string{}},
+		{"working first", map[string]string{"x": "z", "y": "z", "w": "z"}, map[string]bool{"w": true, "x": true}, []string{"y:1", "w:1"}},
+		{"all failing", map[string]string{"x": "z"}, map[string]bool{"x": true}, []string{"x:1"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := directory.New(1)
+			announce := func(id, dataCentre string) member.Backend {
+				b := member.NewBackend(id, id+":1", dataCentre, member.ProtocolEngine, 4, 1, 1, member.WithServices("s"))
+				d.Announce(now, b)
+				return b
+			}
+			b := announce("b", "z")
+			for _, id := range slices.Sorted(maps.Keys(test.others)) {
+				announce(id, test.others[id])
+			}
+			got := peers(b, d.Servers(now), func(id string) bool { return test.failing[id] })
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/io/fleet/items.go
+++ b/io/fleet/items.go
@@ -12,12 +12,15 @@
 	"papayaquay/core/usage"
 	"papayaquay/io/forward"
 	"papayaquay/io/otlp"
+
+	"golang.org/x/sync/singleflight"
 )
 
 // itemAttempts holds the running attempts of batch items by attempt number.
 type itemAttempts struct {
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
+	checks  singleflight.Group // whether a server has ended, by its address
 }
 
 // add stores the function that cancels an attempt.
@@ -46,6 +49,18 @@
 	cancel()
 }
 
+// endedUnder reports whether an attempt ended because the process of its server did. All items that
+// were lost together ask once.
+func (p *Process) endedUnder(ctx context.Context, status runner.AttemptStatus, a runner.Attempt) bool {
+	if (status != runner.AttemptUnreachable && status != runner.AttemptInterrupted) || len(a.Peers()) == 0 {
+		return false
+	}
+	ended, _, _ := p.itemAttempts.checks.Do(a.Backend().Address(), func() (any, error) {
+		return p.hasEnded(ctx, a.Backend().Address(), a.Peers()), nil
+	})
+	return ended.(bool)
+}
+
 // startItemAttempt runs an attempt of a batch item in its own goroutine.
 func (p *Process) startItemAttempt(a runner.Attempt) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -79,7 +94,7 @@
 				}
 			},
 			func(text []byte, last uint64) { report(runner.AttemptPartial, text, last) })
-		if status == runner.AttemptUnreachable && len(a.Peers()) > 0 && p.hasEnded(ctx, a.Backend().Address(), a.Peers()) {
+		if p.endedUnder(ctx, status, a) {
 			status = runner.AttemptServerEnded
 		}
 		report(status, text, last)
