--- a/core/runner/version_test.go
+++ b/core/runner/version_test.go
@@ -144,8 +144,8 @@
 		failing map[string]bool
 		want    []string
 	}{
-		{"none", nil, nil, []string{}},
-		{"another data centre", map[string]string{"x": "z1"}, nil, []string{}},
+		{"none", nil, nil, nil},
+		{"another data centre", map[string]string{"x": "z1"}, nil, nil},
 		{"working first", map[string]string{"x": "z", "y": "z", "w": "z"}, map[string]bool{"w": true, "x": true}, []string{"y:1", "w:1"}},
 		{"all failing", map[string]string{"x": "z"}, map[string]bool{"x": true}, []string{"x:1"}},
 	} {
