Reject announcements that contradict a server before there is a configuration

Cause: which services exist was checked against the configuration only.

Ruled out, as before: forgetting such servers with the first configuration, and ignoring all announcements until then. Change: until there is a configuration, an announcement that names another service than the server that is known under its id or at its address is rejected.

TestEarlyForeignAnnouncement: all four rows failed before.

--- a/core/cluster/foreign_test.go
+++ b/core/cluster/foreign_test.go
@@ -10,6 +10,45 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// TestEarlyForeignAnnouncement guards against announcements of another writer that hide a server, and
+// come before there is a configuration (scenario "early", LOST).
+func TestEarlyForeignAnnouncement(t *testing.T) {
+	server := func(id, service string, incarnation, sequence uint64) member.Backend {
+		return member.NewBackend(id, "b:80", "z0", member.ProtocolEngine, 8, incarnation, sequence, member.WithServices(service))
+	}
+	for _, test := range []struct {
+		name    string
+		foreign member.Backend
+		leave   bool
+	}{
+		{"higher sequence number", server("b", "elsewhere", 1, 4711), false},
+		{"higher incarnation", server("b", "elsewhere", 2, 1), false},
+		{"another server at the address", server("x", "elsewhere", 2, 1), false},
+		{"the server leaves", server("b", "elsewhere", 1, 4711), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 0)
+			s.run(4 * time.Second)
+			s.instance("c0").inbox = append(s.instance("c0").inbox, Announce(server("b", "s", 1, 1)))
+			s.run(time.Second)
+			if test.leave {
+				s.c.Check(s.leave("c1", test.foreign), qt.Equals, call.StatusRejected)
+			} else {
+				s.instance("c1").inbox = append(s.instance("c1").inbox, Announce(test.foreign))
+			}
+			s.run(time.Second)
+			s.c.Assert(s.configure("c0", 3), qt.Equals, call.StatusDone)
+			s.instance("c1").inbox = append(s.instance("c1").inbox, Announce(server("b", "s", 1, 2)))
+			s.run(time.Second)
+			runs := false
+			for _, found := range s.instance("e0").snapshot.Servers() {
+				runs = runs || found.Backend().Runs("s")
+			}
+			s.c.Check(runs, qt.IsTrue)
+		})
+	}
+}
+
 // TestForeignAnnouncement guards against announcements of another writer that hide a server: they
 // name a service that the configuration doesn't.
 func TestForeignAnnouncement(t *testing.T) {
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"papayaquay/core/call"
@@ -89,8 +90,11 @@
 // it names. It must neither take the place of the server's own announcements nor hide another
 // server at its address.
 func (w *World) rejectForeign(b member.Backend) bool {
-	if w.config == nil || len(b.Services()) == 0 {
+	switch {
+	case len(b.Services()) == 0:
 		return false
+	case w.config == nil:
+		return w.rejectContradiction(b)
 	}
 	known, _ := w.directory.Backend(b.ID())
 	for _, service := range b.Services() {
@@ -102,6 +106,22 @@
 	return true
 }
 
+// rejectContradiction reports whether an announcement names another service than the server that is
+// known under its id or at its address, and logs it. Without a configuration it is not known which
+// of the two comes from another writer, so the first one holds. A server that is rejected so counts
+// with its next announcement.
+func (w *World) rejectContradiction(b member.Backend) bool {
+	contradicts := false
+	w.directory.EachBackend(func(known member.Backend) {
+		isSamePlace := known.ID() == b.ID() || (known.Address() == b.Address() && !known.Leaving() && !known.Gone())
+		contradicts = contradicts || (isSamePlace && !slices.Equal(known.Services(), b.Services()))
+	})
+	if contradicts {
+		event.AnnouncementRejected.Log(w.logger, "backend", b.ID(), "services", b.Services(), "error", "another service is known there, and there is no configuration yet")
+	}
+	return contradicts
+}
+
 // leave makes it durable that a backend server leaves; the directory records it
 // at once. If the server does not name its incarnation, the one in the directory
 // is used. If the directory does not know the server, the present time in Unix
