Blame parts that were sound shortly before after the others

Callers saw (scenario "shared", LOST): sound requests that share their first and last part with requests that crash servers did not begin any more.

Cause: all parts of the lost prompts share all crashes; the last one was blamed, and a quarantined part gets no answer that could exclude it.

Ruled out: a longer wait, single requests as probes (each real one crashes a server), and excluding parts that were sound (one may turn bad). Change: entries remember for a minute on which parts answers came to their end and say so when such a part becomes suspect; parts of which that is known are blamed last.

TestSoundPartsAreBlamedLast needs the order; TestSoundPartsAreReported is new.

--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -28,6 +28,7 @@
 	crash          *quarantine.Crash
 	excluded       []quarantine.Part
 	cleared        []quarantine.Part
+	sound          []quarantine.Part
 	answered       *quarantine.CrashID
 	seeds          []string
 	reportTransfer func(leading int)
@@ -91,6 +92,9 @@
 // AnswerBegan reports that an answer began on suspect parts.
 func AnswerBegan(parts []quarantine.Part) Input { return Input{excluded: parts} }
 
+// PartsSound reports suspect parts on which answers came to their end shortly before.
+func PartsSound(parts []quarantine.Part) Input { return Input{sound: parts} }
+
 // AnswerCompleted reports that an answer on suspect parts came to its end.
 func AnswerCompleted(parts []quarantine.Part) Input { return Input{cleared: parts} }
 
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -51,6 +51,10 @@
 		for _, part := range input.cleared {
 			w.quarantine.Clear(now, part)
 		}
+	case len(input.sound) > 0 && w.quarantine != nil:
+		for _, part := range input.sound {
+			w.quarantine.MarkSound(now, part)
+		}
 	case input.answered != nil && w.quarantine != nil:
 		w.quarantine.Refute(now, *input.answered)
 	case input.seeds != nil:
--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -86,11 +86,25 @@
 	w.reportCrash(quarantine.NewCrash(id, 0, check.suspects, nil).WithBegun(check.begun))
 }
 
+// reportSoundParts reports the suspect parts on which answers came to their end here lately.
+func (w *World) reportSoundParts(now time.Time) {
+	var sound []quarantine.Part
+	w.snapshot().Quarantine().EachUnproven(func(part quarantine.Part) {
+		if w.recentParts.Has(now, part) {
+			sound = append(sound, part)
+		}
+	})
+	if len(sound) > 0 {
+		w.markSound(sound)
+	}
+}
+
 // recordEnd records that an answer came to its end. Its parts did not cause the known crashes.
-func (w *World) recordEnd(row *requestRow) {
+func (w *World) recordEnd(now time.Time, row *requestRow) {
 	if !row.answerBegan {
 		return // a failure, or an answer without content
 	}
+	w.recentParts.Add(now, row.request.prompt)
 	var cleared []quarantine.Part
 	for _, part := range row.request.prompt {
 		if w.snapshot().Quarantine().Uncleared(part) {
--- a/core/entry/system_crash_test.go
+++ b/core/entry/system_crash_test.go
@@ -155,6 +155,39 @@
 	}
 }
 
+// TestSoundPartsAreReported checks that an entry instance says of which suspect parts answers came to
+// their end here before, and only of those.
+func TestSoundPartsAreReported(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status AttemptStatus
+		began  bool
+		want   []quarantine.Part
+	}{
+		{"answered", AttemptAnswered, true, []quarantine.Part{"s/first"}},
+		{"failure", AttemptAnswered, false, nil},
+		{"interrupted", AttemptInterrupted, true, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newTestEntry(t, 3, cluster.Loads{})
+			var sound []quarantine.Part
+			WithSoundParts(func(parts []quarantine.Part) { sound = append(sound, parts...) })(e.world)
+			e.submitPrompt(quarantine.Prompt{"s/first", "s/sound"})
+			number := e.last().Number()
+			if test.began {
+				e.step(0, AnswerBegan(number))
+			}
+			e.step(0, AttemptEnded(number, test.status, LoadReport{}))
+			evidence := quarantine.New(1)
+			evidence.Report(e.now, quarantine.NewCrash(quarantine.NewCrashID("x0", 1), 0, []quarantine.Prompt{{"s/first", "s/poison"}}, nil))
+			evidence.Run(e.now)
+			e.snapshot = e.snapshot.WithQuarantine(evidence.View())
+			e.step(0, SnapshotChanged())
+			e.c.Assert(sound, qt.DeepEquals, test.want)
+		})
+	}
+}
+
 // submitPrompt submits a request that may run twice, with the given shared parts.
 func (e *testEntry) submitPrompt(prompt quarantine.Prompt) {
 	r := NewRequest("r", "s", true, false, 2, e.now, e.now.Add(5*time.Second), WithSharedParts(prompt))
--- a/core/entry/system_ended.go
+++ b/core/entry/system_ended.go
@@ -29,7 +29,7 @@
 			"began", row.answerBegan, "failures", server.failures, "ms", now.Sub(row.sentAt).Milliseconds())
 	}
 	if input.status == AttemptAnswered {
-		w.recordEnd(row)
+		w.recordEnd(now, row)
 	}
 	switch input.status {
 	case AttemptAnswered, AttemptCallerGone, AttemptAborted:
--- a/core/entry/system_restart.go
+++ b/core/entry/system_restart.go
@@ -32,8 +32,8 @@
 }
 
 // checkReportedCrashes checks the servers that crashed as other instances report. That the server
-// refuses connections from here too is enough.
-func (w *World) checkReportedCrashes() {
+// refuses connections from here too is enough. It also says which suspect parts were sound.
+func (w *World) checkReportedCrashes(now time.Time) {
 	snapshot := w.snapshot()
 	if snapshot == w.checkedSnapshot {
 		return
@@ -47,6 +47,7 @@
 	if !snapshot.Quarantine().HasCrashes() {
 		return
 	}
+	w.reportSoundParts(now)
 	for _, s := range snapshot.Servers() {
 		id := quarantine.NewCrashID(s.Backend().ID(), s.Backend().Incarnation())
 		if snapshot.Quarantine().Crashed(id) && w.reportedCrashes.Get(id) == nil {
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -44,6 +44,7 @@
 	reportCrash    func(quarantine.Crash)
 	exclude        func([]quarantine.Part)
 	clear          func([]quarantine.Part)
+	markSound      func([]quarantine.Part)
 	findStream     func(number uint64, q stream.Query)
 	reportLeave    func(backend string, incarnation uint64)
 	refute         func(quarantine.CrashID)
@@ -54,6 +55,7 @@
 	unrecordedUntil    time.Time       // until when no records of streams are expected to be confirmed
 	servers            *table.Table[string, serverRow]
 	crashChecks        *table.Table[quarantine.CrashID, crashCheckRow]
+	recentParts        *quarantine.Recent
 	reportedCrashes    *table.Table[quarantine.CrashID, struct{}] // of other instances, that were checked here
 	checkedSnapshot    *cluster.Snapshot                          // the last one whose crashes were checked
 	ended              *member.Ended
@@ -106,6 +108,12 @@
 	}
 }
 
+// WithSoundParts sets the function that receives suspect parts on which answers came to their end
+// here shortly before.
+func WithSoundParts(markSound func([]quarantine.Part)) Option {
+	return func(w *World) { w.markSound = markSound }
+}
+
 // WithStreamSearch sets the function that asks the other instances which version began a
 // stream. It must not block; the answer is passed to the world by StreamFound.
 func WithStreamSearch(find func(number uint64, q stream.Query)) Option {
@@ -125,7 +133,7 @@
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
-		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, clear: func([]quarantine.Part) {}, reportLeave: func(string, uint64) {}, findStream: func(uint64, stream.Query) {}, began: stream.NewRecords(),
+		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, clear: func([]quarantine.Part) {}, markSound: func([]quarantine.Part) {}, recentParts: quarantine.NewRecent(), reportLeave: func(string, uint64) {}, findStream: func(uint64, stream.Query) {}, began: stream.NewRecords(),
 		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), reportedCrashes: table.New[quarantine.CrashID, struct{}](), ended: member.NewEnded(), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
@@ -155,7 +163,7 @@
 			w.endProbe(now, input.probed, input.reached)
 		}
 	}
-	w.checkReportedCrashes()
+	w.checkReportedCrashes(now)
 	w.watch(now)
 	if w.inFlightChanged {
 		w.report(w.running(now))
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -93,6 +93,7 @@
 	begun    []Prompt
 	excluded []Part
 	cleared  []Part
+	sound    []Part
 	refuted  bool
 }
 
@@ -124,6 +125,13 @@
 	return c
 }
 
+// WithSound returns the crash with the parts on which answers had come to their end shortly before it
+// was known.
+func (c Crash) WithSound(parts []Part) Crash {
+	c.sound = parts
+	return c
+}
+
 // ID returns the id of the crash.
 func (c Crash) ID() CrashID { return c.id }
 
@@ -142,6 +150,9 @@
 // Cleared returns the parts that cannot have caused the crash at all.
 func (c Crash) Cleared() []Part { return c.cleared }
 
+// Sound returns the parts that did not crash servers shortly before.
+func (c Crash) Sound() []Part { return c.sound }
+
 // Refuted reports whether the server answered after the crash, so that it did not crash.
 func (c Crash) Refuted() bool { return c.refuted }
 
@@ -151,6 +162,7 @@
 	begun        []Prompt
 	excluded     []Part
 	cleared      []Part
+	sound        []Part
 	refuted      bool
 	happenedAt   time.Time
 	learnedAt    time.Time // when the crash became known here
@@ -167,6 +179,7 @@
 	changed = addPrompts(&r.begun, c.begun, maxBegunPerCrash) || changed
 	changed = addParts(&r.excluded, c.excluded, r.names) || changed
 	changed = addParts(&r.cleared, c.cleared, r.namesAnywhere) || changed
+	changed = addParts(&r.sound, c.sound, r.namesAnywhere) || changed
 	return changed
 }
 
@@ -208,7 +221,7 @@
 // crash returns the row as a message.
 func (r *crashRow) crash(now time.Time, id CrashID) Crash {
 	c := NewCrash(id, now.Sub(r.happenedAt), slices.Clone(r.suspects), slices.Clone(r.excluded)).
-		WithBegun(slices.Clone(r.begun)).WithCleared(slices.Clone(r.cleared))
+		WithBegun(slices.Clone(r.begun)).WithCleared(slices.Clone(r.cleared)).WithSound(slices.Clone(r.sound))
 	c.refuted = r.refuted
 	return c
 }
--- a/core/quarantine/system_attribute.go
+++ b/core/quarantine/system_attribute.go
@@ -56,7 +56,7 @@
 // Parts of requests whose answers had not begun are blamed first. Only for the crashes that none of
 // them explains are the requests considered whose answers had begun.
 func (w *World) attribute(now time.Time) (*View, time.Time) {
-	a := &attribution{view: &View{suspects: make(map[Part]bool), uncleared: make(map[Part]bool), crashed: w.crashedServers()}}
+	a := &attribution{view: &View{suspects: make(map[Part]bool), uncleared: make(map[Part]bool), sound: w.soundParts(), crashed: w.crashedServers()}}
 	explained := w.attributeToUnbegun(now, a)
 	w.attributeToBegun(now, a, explained)
 	return a.view, a.next
@@ -70,12 +70,14 @@
 // that shares it with another crash, and among parts at the same position to the one with
 // the most crashes. So the first part of a prompt is blamed only for crashes under prompts
 // that have nothing else in common. A whole request is blamed last: if a part crashes
-// servers, other requests with it do so too.
+// servers, other requests with it do so too. Parts that were sound shortly before are blamed after
+// the other parts, since they may share all crashes with one that is not.
 func (w *World) attributeToUnbegun(now time.Time, a *attribution) (explained map[CrashID]bool) {
 	explained, shared := make(map[CrashID]bool), make(map[CrashID]bool)
-	candidates := w.candidateParts((*crashRow).unbegunCandidates)
+	candidates, sound := w.candidateParts((*crashRow).unbegunCandidates), a.view.sound
 	slices.SortFunc(candidates, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part))
+		return cmp.Or(compareFalseFirst(a.part.isRequest(), b.part.isRequest()), compareFalseFirst(sound[a.part], sound[b.part]),
+			cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part))
 	})
 	for _, c := range candidates {
 		a.view.suspects[c.part] = true
@@ -99,7 +101,7 @@
 // the most crashes is blamed, and the more specific one of several. A part that lacks half of the crashes of its time is
 // not: servers that were killed together had requests in common.
 func (w *World) attributeToBegun(now time.Time, a *attribution, explained map[CrashID]bool) {
-	lost := w.lostAfterBegin()
+	lost, sound := w.lostAfterBegin(), a.view.sound
 	candidates := w.candidateParts(func(row *crashRow, yield func(position int, part Part)) { row.begunCandidates(lost, yield) })
 	for _, c := range candidates {
 		a.view.uncleared[c.part] = true
@@ -113,7 +115,8 @@
 			return
 		}
 		c := slices.MinFunc(candidates, func(a, b *candidate) int {
-			return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
+			return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), compareFalseFirst(sound[a.part], sound[b.part]),
+				cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
 		})
 		candidates = slices.DeleteFunc(candidates, func(other *candidate) bool { return other == c })
 		if 2*len(c.crashes) < w.unexplainedAround(c, explained) {
@@ -126,6 +129,28 @@
 	}
 }
 
+// compareFalseFirst compares truth values so that false comes first.
+func compareFalseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// soundParts returns the parts of which an instance said that they were sound before a crash.
+func (w *World) soundParts() map[Part]bool {
+	sound := make(map[Part]bool)
+	w.crashes.Each(func(_ CrashID, row *crashRow) {
+		for _, part := range row.sound {
+			sound[part] = true
+		}
+	})
+	return sound
+}
+
 // unexplainedAround returns the number of crashes that are not explained, from the first to the last
 // one of a candidate.
 func (w *World) unexplainedAround(c *candidate, explained map[CrashID]bool) int {
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -32,6 +32,7 @@
 	rejections []Rejection
 	suspects   map[Part]bool
 	uncleared  map[Part]bool
+	sound      map[Part]bool
 	crashed    map[CrashID]bool // incarnations of servers that are believed to have crashed
 }
 
@@ -43,7 +44,7 @@
 	if len(v.rejections) == 0 {
 		return v
 	}
-	later := &View{rejections: slices.Clone(v.rejections), suspects: v.suspects, uncleared: v.uncleared, crashed: v.crashed}
+	later := &View{rejections: slices.Clone(v.rejections), suspects: v.suspects, uncleared: v.uncleared, sound: v.sound, crashed: v.crashed}
 	for i := range later.rejections {
 		later.rejections[i].left = later.rejections[i].until.Sub(now)
 	}
@@ -71,6 +72,18 @@
 // answer. An answer on it that comes to its end then matters.
 func (v *View) Uncleared(part Part) bool { return v.uncleared[part] }
 
+// EachUnproven calls visit for each part that may have caused a known crash and of which no instance
+// has said that answers on it came to their end shortly before.
+func (v *View) EachUnproven(visit func(Part)) {
+	for _, parts := range []map[Part]bool{v.suspects, v.uncleared} {
+		for part := range parts {
+			if !v.sound[part] {
+				visit(part)
+			}
+		}
+	}
+}
+
 // Crashed reports whether an incarnation of a server is believed to have crashed. An answer
 // to a request that is sent to it afterwards refutes that.
 func (v *View) Crashed(id CrashID) bool { return v.crashed[id] }
--- a/core/quarantine/world.go
+++ b/core/quarantine/world.go
@@ -130,6 +130,16 @@
 	})
 }
 
+// MarkSound records that answers on a part came to their end shortly before the crashes that are
+// known now. Parts without such answers are blamed first.
+func (w *World) MarkSound(now time.Time, part Part) {
+	w.crashes.Each(func(id CrashID, row *crashRow) {
+		if row.namesAnywhere(part) {
+			w.Report(now, NewCrash(id, 0, nil, nil).WithSound([]Part{part}))
+		}
+	})
+}
+
 // Refute records that a server answered after its crash was known: it did not crash.
 func (w *World) Refute(now time.Time, id CrashID) {
 	if w.crashes.Get(id) != nil {
--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -186,6 +186,68 @@
 	})
 }
 
+// TestSoundPartsAreBlamedLast guards against the rejection of a part that sound requests share in place of
+// the one that crashes servers, while no sound request begins to be answered (scenario "shared", LOST).
+func TestSoundPartsAreBlamedLast(t *testing.T) {
+	prompt := func(int) []Prompt { return []Prompt{{"first", "poison", "last"}} }
+	for _, test := range []struct {
+		name     string
+		steps    []observation
+		begun    bool // the answers had begun
+		sound    []Part
+		rejected []Part
+	}{
+		{"not known", crashes(8, prompt), false, nil, []Part{"last"}},
+		{"the others were sound", crashes(8, prompt), false, []Part{"first", "last"}, []Part{"poison"}},
+		{"the others were sound, crashes after the begin", crashes(8, prompt), true, []Part{"first", "last"}, []Part{"poison"}},
+		{"all were sound", crashes(8, prompt), false, []Part{"first", "poison", "last"}, []Part{"last"}},
+		{"the whole request comes last", crashes(8, func(int) []Prompt { return []Prompt{{request, "first", "last"}} }), false, []Part{"first", "last"}, []Part{"last"}},
+		{"two poison parts", crashes(8, func(n int) []Prompt { return []Prompt{{"first", Part(fmt.Sprint("poison", n%2)), "last"}} }), false,
+			[]Part{"first", "last"}, []Part{"poison0", "poison1"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			w := New(1)
+			for n, s := range test.steps {
+				now = now.Add(s.after)
+				crash := NewCrash(NewCrashID(fmt.Sprint("b", n), 1), 0, s.suspects, nil)
+				if test.begun {
+					crash = NewCrash(crash.ID(), 0, nil, nil).WithBegun(s.suspects)
+				}
+				w.Report(now, crash)
+			}
+			for _, part := range test.sound {
+				w.MarkSound(now, part)
+			}
+			now = now.Add(begunSettleTime)
+			w.Run(now)
+			var rejected []Part
+			for _, v := range w.View().Rejections() {
+				rejected = append(rejected, v.Part())
+			}
+			c.Assert(rejected, qt.DeepEquals, test.rejected)
+		})
+	}
+}
+
+// TestRecentParts checks which parts are remembered, for how long and how many.
+func TestRecentParts(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRecent()
+	r.Add(now, Prompt{request, "first", "second"})
+	for part, want := range map[Part]bool{request: false, "first": true, "second": true, "third": false} {
+		c.Check(r.Has(now.Add(recentRetention), part), qt.Equals, want, qt.Commentf(string(part)))
+	}
+	c.Check(r.Has(now.Add(recentRetention+1), "first"), qt.IsFalse)
+	for n := range 3 * maxRecentParts {
+		r.Add(now, Prompt{unique(n)})
+	}
+	c.Check(r.parts.Len() <= maxRecentParts, qt.IsTrue)
+	c.Check(r.Has(now, unique(3*maxRecentParts-1)), qt.IsTrue)
+}
+
 // TestRefutedCrashesDoNotCount guards against parts that are rejected because a cut link
 // looked like crashes.
 func TestRefutedCrashesDoNotCount(t *testing.T) {
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -175,6 +175,7 @@
 			func(parts []quarantine.Part) { p.inbox.Post(cluster.AnswerBegan(parts)) },
 			func(parts []quarantine.Part) { p.inbox.Post(cluster.AnswerCompleted(parts)) },
 			func(id quarantine.CrashID) { p.inbox.Post(cluster.ServerAnswered(id)) }),
+		entry.WithSoundParts(func(parts []quarantine.Part) { p.inbox.Post(cluster.PartsSound(parts)) }),
 		entry.WithProbe(func(backend, address string) {
 			go func() { p.traffic.Post(entry.ProbeEnded(backend, p.forward.CanConnect(context.Background(), address))) }()
 		}))
--- a/io/record/evidence.go
+++ b/io/record/evidence.go
@@ -20,6 +20,7 @@
 	Refuted     bool
 	Begun       []quarantine.Prompt
 	Cleared     []quarantine.Part
+	Sound       []quarantine.Part
 }
 
 // toCrashes returns the wire format of crashes.
@@ -27,7 +28,7 @@
 	out := make([]crash, 0, len(crashes))
 	for _, c := range crashes {
 		out = append(out, crash{Backend: c.ID().Backend(), Incarnation: c.ID().Incarnation(), AgeMS: c.Age().Milliseconds(),
-			Suspects: c.Suspects(), Excluded: c.Excluded(), Refuted: c.Refuted(), Begun: c.Begun(), Cleared: c.Cleared()})
+			Suspects: c.Suspects(), Excluded: c.Excluded(), Refuted: c.Refuted(), Begun: c.Begun(), Cleared: c.Cleared(), Sound: c.Sound()})
 	}
 	return out
 }
@@ -38,7 +39,7 @@
 	for _, c := range wire {
 		age := time.Duration(max(c.AgeMS, 0)) * time.Millisecond
 		row := quarantine.NewCrash(quarantine.NewCrashID(c.Backend, c.Incarnation), age, c.Suspects, c.Excluded).
-			WithBegun(c.Begun).WithCleared(c.Cleared)
+			WithBegun(c.Begun).WithCleared(c.Cleared).WithSound(c.Sound)
 		if c.Refuted {
 			row = row.AsRefuted()
 		}
