Keep whole announcements from being replaced by ones that lack a field

Change: a control instance rejects such a report if it got a whole one of that id, or from that address, within the last minute.

--- a/core/cluster/foreign_test.go
+++ b/core/cluster/foreign_test.go
@@ -49,6 +49,53 @@
 	}
 }
 
+// TestPartialAnnouncement guards against announcements that lack a field on which nothing rests and take
+// the place of a server that sends all (review/6, LOST).
+func TestPartialAnnouncement(t *testing.T) {
+	server := func(id string, incarnation, sequence uint64, partial, leaving bool) member.Backend {
+		return member.NewBackend(id, "b:80", "z0", member.ProtocolEngine, 8, incarnation, sequence, member.WithServices("s"),
+			member.WithPartial(partial), member.WithLeaving(leaving))
+	}
+	for _, test := range []struct {
+		name   string
+		whole  bool // the server sends whole announcements
+		second member.Backend
+		leave  bool
+		id     string // of the server that is used afterwards, empty for none
+	}{
+		{"another id at the address", true, server("x", 2, 1, true, false), false, "b"},
+		{"later start", true, server("b", 2, 1, true, false), false, "b"},
+		{"higher sequence number", true, server("b", 1, 4711, true, false), false, "b"},
+		{"the server leaves", true, server("b", 1, 4711, true, true), true, "b"},
+		{"whole, another id at the address", true, server("x", 2, 1, false, false), false, "x"},
+		{"the server's announcements lack it too", false, server("b", 2, 1, true, false), false, "b"},
+		{"the server's announcements lack it too, it leaves", false, server("b", 1, 4711, true, true), true, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestSystem(t, 0)
+			s.run(4 * time.Second)
+			s.c.Assert(s.configure("c0", 3), qt.Equals, call.StatusDone)
+			c0 := s.instance("c0")
+			c0.inbox = append(c0.inbox, Announce(server("b", 1, 1, !test.whole, false)))
+			s.run(time.Second)
+			if test.leave {
+				s.leave("c0", test.second)
+			} else {
+				c0.inbox = append(c0.inbox, Announce(test.second))
+			}
+			s.run(time.Second)
+			c0.inbox = append(c0.inbox, Announce(server("b", 1, 2, !test.whole, false)))
+			s.run(time.Second)
+			used, sequence := "", uint64(0)
+			for _, found := range s.instance("e0").snapshot.Servers() {
+				used, sequence = found.Backend().ID(), found.Backend().Sequence()
+			}
+			s.c.Check(used, qt.Equals, test.id)
+			s.c.Check(sequence < 4711, qt.IsTrue)
+		})
+	}
+}
+
 // TestForeignAnnouncement guards against announcements of another writer that hide a server: they
 // name a service that the configuration doesn't.
 func TestForeignAnnouncement(t *testing.T) {
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -80,7 +80,7 @@
 // announce records an announcement of a backend server. A late announcement must
 // not bring back a server whose leave is committed.
 func (w *World) announce(now time.Time, b member.Backend) {
-	if w.rejectForeign(b) {
+	if w.rejectForeign(b) || w.rejectPartial(now, b) {
 		return
 	}
 	if w.registry != nil && w.registry.hasLeft(registry.NewLeavingBackend(b.ID(), b.Incarnation())) {
@@ -132,7 +132,7 @@
 // milliseconds is used; it is higher than the incarnation of a server that takes
 // its start time as incarnation.
 func (w *World) leave(now time.Time, b member.Backend, reply func(call.Reply)) {
-	if w.rejectForeign(b) {
+	if w.rejectForeign(b) || w.rejectPartial(now, b) {
 		reply(call.NewReply(0, call.StatusRejected, nil))
 		return
 	}
--- a/core/cluster/world.go
+++ b/core/cluster/world.go
@@ -58,6 +58,7 @@
 	streams      *streamKeeper
 	servers      *serverList
 	outbox       *outbox
+	writers      *writers
 
 	seeds          []string
 	document       registry.Document
@@ -121,7 +122,7 @@
 		self: self, codec: codec, decode: decode, logger: slog.New(slog.DiscardHandler),
 		persist: func(uint64, []ledger.Record) {}, send: func(Packet) {}, publish: func(*Snapshot) {},
 		ledgers: ledger.New(self.Address()),
-		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), documents: newDocumentFetch(), streams: newStreamKeeper(now), encoded: newEncodedDocuments(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), responses: newResponseCache(),
+		polls:   newPolls(), proposals: newProposals(), loadReporter: newLoadReporter(), evidence: newEvidenceExchange(), documents: newDocumentFetch(), streams: newStreamKeeper(now), encoded: newEncodedDocuments(), readiness: &readiness{}, servers: &serverList{}, outbox: newOutbox(self.Address()), writers: newWriters(), responses: newResponseCache(),
 		snapshotStale: true, now: now, wallClock: func() time.Time { return now },
 		heapBytes: func() uint64 { return 0 },
 	}
--- a/core/member/backend.go
+++ b/core/member/backend.go
@@ -41,6 +41,7 @@
 	sequence    uint64 // sequence number of the announcement
 	leaving     bool
 	gone        bool
+	partial     bool // the announcement lacks a field on which nothing rests; see WithPartial
 	load        Load
 }
 
@@ -67,6 +68,10 @@
 // WithLeaving sets whether the server takes no new work.
 func WithLeaving(leaving bool) BackendOption { return func(b *Backend) { b.leaving = leaving } }
 
+// WithPartial sets whether the announcement lacks a field of the protocol on which nothing rests. A
+// server that sends whole announcements does not send such ones.
+func WithPartial(partial bool) BackendOption { return func(b *Backend) { b.partial = partial } }
+
 // WithGone sets whether the server has stopped announcing itself.
 func WithGone(gone bool) BackendOption { return func(b *Backend) { b.gone = gone } }
 
@@ -124,6 +129,9 @@
 // Gone reports whether the server has stopped announcing itself.
 func (b Backend) Gone() bool { return b.gone }
 
+// Partial reports whether the announcement lacks a field of the protocol.
+func (b Backend) Partial() bool { return b.partial }
+
 // Load returns the last load report.
 func (b Backend) Load() Load { return b.load }
 
