--- a/core/entry/system_crash.go
+++ b/core/entry/system_crash.go
@@ -112,7 +112,7 @@
 		}
 	}
 	if len(cleared) > 0 {
-		w.clear(cleared)
+		w.clearParts(cleared)
 	}
 }
 
--- a/core/entry/world.go
+++ b/core/entry/world.go
@@ -43,7 +43,7 @@
 	checkCrash     func(id quarantine.CrashID, address string, others []string)
 	reportCrash    func(quarantine.Crash)
 	exclude        func([]quarantine.Part)
-	clear          func([]quarantine.Part)
+	clearParts     func([]quarantine.Part)
 	markSound      func([]quarantine.Part)
 	findStream     func(number uint64, q stream.Query)
 	reportLeave    func(backend string, incarnation uint64)
@@ -99,12 +99,12 @@
 // checkCrash starts a check whether a server refuses connections although one of the
 // given other servers of its data centre accepts them; it must not block, and the result is
 // passed to the world by CrashChecked. reportCrash receives each crash. exclude receives
-// suspect parts on which an answer began, clear those on which one came to its end. refute
+// suspect parts on which an answer began, clearParts those on which one came to its end. refute
 // receives a server that was believed to have crashed and answers.
 func WithQuarantine(checkCrash func(id quarantine.CrashID, address string, others []string), reportCrash func(quarantine.Crash),
-	exclude, clear func([]quarantine.Part), refute func(quarantine.CrashID)) Option {
+	exclude, clearParts func([]quarantine.Part), refute func(quarantine.CrashID)) Option {
 	return func(w *World) {
-		w.checkCrash, w.reportCrash, w.exclude, w.clear, w.refute = checkCrash, reportCrash, exclude, clear, refute
+		w.checkCrash, w.reportCrash, w.exclude, w.clearParts, w.refute = checkCrash, reportCrash, exclude, clearParts, refute
 	}
 }
 
@@ -133,7 +133,7 @@
 		logger: slog.New(slog.DiscardHandler), random: rand.New(rand.NewPCG(1, 1)),
 		snapshot: snapshot, report: func(usage.Report) {}, probe: func(string, string) {},
 		observeRequest: func(string, time.Duration, time.Duration) {}, observeAttempt: func(AttemptStatus) {}, dataCentre: dataCentre,
-		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, clear: func([]quarantine.Part) {}, markSound: func([]quarantine.Part) {}, recentParts: quarantine.NewRecent(), reportLeave: func(string, uint64) {}, findStream: func(uint64, stream.Query) {}, began: stream.NewRecords(),
+		checkCrash: func(quarantine.CrashID, string, []string) {}, refute: func(quarantine.CrashID) {}, reportCrash: func(quarantine.Crash) {}, exclude: func([]quarantine.Part) {}, clearParts: func([]quarantine.Part) {}, markSound: func([]quarantine.Part) {}, recentParts: quarantine.NewRecent(), reportLeave: func(string, uint64) {}, findStream: func(uint64, stream.Query) {}, began: stream.NewRecords(),
 		requests: table.New[uint64, requestRow](), servers: table.New[string, serverRow](), crashChecks: table.New[quarantine.CrashID, crashCheckRow](), reportedCrashes: table.New[quarantine.CrashID, struct{}](), ended: member.NewEnded(), dataCentreProbedAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -146,7 +146,7 @@
 			return []begunObservation{{begun: []Prompt{{"first", unique(n / 3)}, {"first", unique(100 + n)}}}, {completed: "first"}}
 		}), begunSettleTime, nil},
 		{"one part crashes early, another later", append(crashesBegun(3, "early"), repeated(3, poison)...), begunSettleTime, []Part{"early", "poison"}},
-		{"sound requests lost with a part that crashes early", repeated(4, func(n int) []begunObservation {
+		{"sound requests lost with a part that crashes early", repeated(4, func(int) []begunObservation {
 			return []begunObservation{{suspects: []Prompt{{"first", "poison"}}, begun: []Prompt{{"first", "popular"}}, after: pause}}
 		}), begunSettleTime, []Part{"poison"}},
 	} {
