--- a/core/quarantine/world_test.go
+++ b/core/quarantine/world_test.go
@@ -28,6 +28,15 @@
 // unique returns a part that no other prompt has.
 func unique(n int) Part { return Part(fmt.Sprint("unique", n)) }
 
+// rejectedParts returns the parts that are rejected.
+func rejectedParts(w *World) []Part {
+	var parts []Part
+	for _, v := range w.View().Rejections() {
+		parts = append(parts, v.Part())
+	}
+	return parts
+}
+
 // Whole requests.
 var request, other = NewRequestPart("s", "/a", []byte("x")), NewRequestPart("s", "/b", []byte("x"))
 
@@ -77,11 +86,7 @@
 			}
 			now = now.Add(test.wait)
 			w.Run(now)
-			var rejected []Part
-			for _, v := range w.View().Rejections() {
-				rejected = append(rejected, v.Part())
-			}
-			c.Assert(rejected, qt.DeepEquals, test.rejected)
+			c.Assert(rejectedParts(w), qt.DeepEquals, test.rejected)
 			_, sound := w.View().Rejects(Prompt{"first", "sound"})
 			c.Assert(sound, qt.IsFalse)
 		})
@@ -170,11 +175,7 @@
 			}
 			now = now.Add(test.wait)
 			w.Run(now)
-			var rejected []Part
-			for _, v := range w.View().Rejections() {
-				rejected = append(rejected, v.Part())
-			}
-			c.Assert(rejected, qt.DeepEquals, test.rejected)
+			c.Assert(rejectedParts(w), qt.DeepEquals, test.rejected)
 		})
 	}
 }
@@ -222,11 +223,7 @@
 			}
 			now = now.Add(begunSettleTime)
 			w.Run(now)
-			var rejected []Part
-			for _, v := range w.View().Rejections() {
-				rejected = append(rejected, v.Part())
-			}
-			c.Assert(rejected, qt.DeepEquals, test.rejected)
+			c.Assert(rejectedParts(w), qt.DeepEquals, test.rejected)
 		})
 	}
 }
