Number the calls that serve forwards from another number after each start

Change: the numbers go on from a hash of the lease owner, which is unique for each start. TestForwardedCallsOfTwoStarts failed before.

--- a/core/control/calls.go
+++ b/core/control/calls.go
@@ -8,6 +8,8 @@
 	"papayaquay/core/member"
 	"papayaquay/core/table"
 	"papayaquay/core/timer"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // callRow is a call that has no result yet.
@@ -45,9 +47,10 @@
 }
 
 // newCallWorld returns the sub-world without calls. The field serve must be set
-// before the first tick.
-func newCallWorld(members *member.World, ledgers *ledger.World, placements []Placement, tick *tickState, packetTo func(to string) *Packet) *callWorld {
-	return &callWorld{self: members.Self().Name(), members: members, ledgers: ledgers, placements: placements,
+// before the first tick. owner is unique for each start of the instance: the numbers of calls
+// continue from it, since a response to a call of an earlier start may still arrive.
+func newCallWorld(owner string, members *member.World, ledgers *ledger.World, placements []Placement, tick *tickState, packetTo func(to string) *Packet) *callWorld {
+	return &callWorld{lastNumber: xxhash.Sum64String(owner), self: members.Self().Name(), members: members, ledgers: ledgers, placements: placements,
 		tick: tick, packetTo: packetTo, rows: table.New[uint64, callRow](), leaderHints: table.New[ledger.ID, leaderHintRow]()}
 }
 
--- a/core/control/world.go
+++ b/core/control/world.go
@@ -160,7 +160,7 @@
 // build creates the sub-worlds and connects them.
 func (w *World) build(owner string, codec Codec) {
 	s, packetTo := w.settings, w.outbox.packetTo
-	w.calls = newCallWorld(w.members, w.ledgers, s.placements, w.tick, packetTo)
+	w.calls = newCallWorld(owner, w.members, w.ledgers, s.placements, w.tick, packetTo)
 	w.hosts = newHostWorld(w.members, w.ledgers, w.calls, codec)
 	w.hosts.logger, w.hosts.packetTo, w.hosts.compactAfter = w.logger, packetTo, s.compactAfter
 	w.hosts.persist, w.hosts.background, w.hosts.post = s.persist, s.background, s.post
--- a/core/control/world_test.go
+++ b/core/control/world_test.go
@@ -36,14 +36,19 @@
 
 // system is a simulated deployment that is driven by ticks.
 type system struct {
-	c     *qt.C
-	now   time.Time
-	nodes []*node
+	c       *qt.C
+	now     time.Time
+	starts  int // of each instance
+	nodes   []*node
+	numbers map[uint64]bool // of the calls that instances forwarded
 }
 
 // newSystem returns a deployment after the ledgers have elected their leaders.
-func newSystem(t testing.TB) *system {
-	s := &system{c: qt.New(t), now: time.Unix(1000, 0)}
+func newSystem(t testing.TB) *system { return newStartedSystem(t, 1) }
+
+// newStartedSystem returns a deployment whose instances were started a number of times.
+func newStartedSystem(t testing.TB, starts int) *system {
+	s := &system{c: qt.New(t), now: time.Unix(1000, 0), starts: starts, numbers: make(map[uint64]bool)}
 	names := []string{"i0", "i1", "i2"}
 	var rows []member.Instance
 	for _, name := range names {
@@ -75,7 +80,7 @@
 		}
 	}
 	members := member.New(s.now, self, member.WithSeed(seed), member.WithSeeds(others...))
-	n.world = control.New(s.now, name+"#1", record.NewControlCodec(), members, ledgers,
+	n.world = control.New(s.now, fmt.Sprint(name, "#", s.starts), record.NewControlCodec(), members, ledgers,
 		control.WithPlacements(placements...),
 		control.WithPersist(func(sequence uint64, _ []ledger.Record) { n.inbox = append(n.inbox, control.Synced(sequence)) }),
 		control.WithSend(s.deliver), control.WithPublish(func(x *control.Snapshot) { n.snapshot = x }),
@@ -86,6 +91,9 @@
 
 // deliver adds a packet to the inbox of its receiver, unless the receiver is down.
 func (s *system) deliver(p control.Packet) {
+	for _, f := range p.Calls() {
+		s.numbers[f.Number()] = true
+	}
 	for _, n := range s.nodes {
 		if n.name == p.To() && !n.down {
 			n.inbox = append(n.inbox, control.PacketReceived(p))
@@ -128,6 +136,21 @@
 	return s.ask(at, control.CallChange, control.ConfigLedger, control.WithChange(change)).ChangeResult()
 }
 
+// TestForwardedCallsOfTwoStarts guards against a response to a call before a restart that answers a
+// later call: the numbers of calls must differ.
+func TestForwardedCallsOfTwoStarts(t *testing.T) {
+	first, second := newStartedSystem(t, 1), newStartedSystem(t, 2)
+	for _, s := range []*system{first, second} {
+		for at := range s.nodes {
+			s.change(at, fmt.Sprint("operation", at), uint64(at))
+		}
+		s.c.Assert(len(s.numbers) > 0, qt.IsTrue)
+	}
+	for number := range first.numbers {
+		first.c.Check(second.numbers[number], qt.IsFalse, qt.Commentf("number %d", number))
+	}
+}
+
 // TestChangeReachesAllInstances checks that all instances get a change, that a
 // repeated operation gets the first result, and that a change based on an old
 // revision is rejected.
