--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -69,6 +69,7 @@
 		action    Action // of the last decision
 	}{
 		{"answered", AttemptAnswered, false, 1, 1, ActionSend},
+		{"aborted", AttemptAborted, true, 3, 1, ActionSend},
 		{"at most once, answer lost", AttemptLost, false, 1, 1, ActionFail},
 		{"at most once, interrupted", AttemptInterrupted, false, 3, 1, ActionFail},
 		{"at most once, not run", AttemptNotRun, false, 1, 4, ActionReject},
