--- a/test/system_test.go
+++ b/test/system_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,6 +54,7 @@
 	proxies     map[link]*toxiproxy.Proxy
 	engineGroup *standin.EngineGroup
 	recorder    *standin.Recorder
+	descriptors int
 }
 
 // systemOptions describes the system that startSystem starts. Each data centre has
@@ -64,6 +66,7 @@
 	extraSettings string
 	engineOptions []standin.EngineOption
 	proxied       bool
+	descriptors   int // that an instance may open, 0 for the limit of the test
 }
 
 // startSystem starts all processes of a system, waits until it is ready and
@@ -79,7 +82,7 @@
 	layout, err := standin.NewLayout(folder, o.centres, o.perCentre, o.extraSettings)
 	c.Assert(err, qt.IsNil)
 	sys := &system{t: t, c: c, ctx: ctx, layout: layout, folder: folder, processes: make(map[string]*exec.Cmd),
-		exits: make(map[string]chan error), proxies: make(map[link]*toxiproxy.Proxy), recorder: &standin.Recorder{}}
+		exits: make(map[string]chan error), proxies: make(map[link]*toxiproxy.Proxy), recorder: &standin.Recorder{}, descriptors: o.descriptors}
 	if o.proxied {
 		sys.addProxies(o.centres)
 	}
@@ -165,6 +168,9 @@
 	sys.c.Assert(err, qt.IsNil)
 	defer logFile.Close()
 	process := exec.Command(program, "serve", "--config", settingsFile)
+	if sys.descriptors > 0 {
+		process = exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(sys.descriptors), program, "serve", "--config", settingsFile)
+	}
 	process.Stderr = logFile
 	sys.c.Assert(process.Start(), qt.IsNil)
 	exit := make(chan error, 1)
