Bound the connections that clients open, and go on without descriptors

Cause: nothing bounded accepted connections below the machine's limit; an unfinished request ended never; the peer listener took EMFILE for its end, and Run then waited for HTTP servers that nobody shut down.

Ruled out: shorter timeouts (they end slow, honest clients in calm, and 1,000 new connections come in less time); the library's limit listener (an attacker who stays keeps it full).

Change: io/client, the gate through which all listeners of an instance accept. A connection reserves 16 KiB and its descriptor in the budget, a request 16 KiB. At the limit, half of the descriptors (setting max_descriptors, and the limit of the operating system, asked at each accept), connections that have made no progress for 0.5 s are closed for new ones, unfinished requests first, idle ones last; those that are served stay. EMFILE and its like are waited out. What the HTTP library wrote to standard error is in the structured log now.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -30,18 +30,22 @@
 
 // Events of the instance as a whole.
 var (
-	Started          = Event{100, slog.LevelInfo, "instance started"}
-	Draining         = Event{101, slog.LevelInfo, "graceful shutdown started"}
-	Stopped          = Event{102, slog.LevelInfo, "instance stopped"}
-	ShutdownTimedOut = Event{103, slog.LevelWarn, "graceful shutdown timed out"}
-	ListenerFailed   = Event{104, slog.LevelError, "a listener failed"}
-	SettingsReloaded = Event{105, slog.LevelInfo, "the settings file was reloaded"}
-	SettingsRejected = Event{106, slog.LevelWarn, "a changed settings file was rejected"}
-	SpanExportFailed = Event{107, slog.LevelWarn, "spans could not be exported at shutdown"}
-	DiskWriteFailed  = Event{110, slog.LevelError, "a write to disk failed"}
-	LogTruncated     = Event{111, slog.LevelWarn, "a torn record at the end of a log was truncated"}
-	LogCorrupt       = Event{112, slog.LevelError, "a corrupt record before the end of a log was found"}
-	ReplicaCreated   = Event{113, slog.LevelInfo, "the data folder holds no replica; a new replica id was created"}
+	Started              = Event{100, slog.LevelInfo, "instance started"}
+	Draining             = Event{101, slog.LevelInfo, "graceful shutdown started"}
+	Stopped              = Event{102, slog.LevelInfo, "instance stopped"}
+	ShutdownTimedOut     = Event{103, slog.LevelWarn, "graceful shutdown timed out"}
+	ListenerFailed       = Event{104, slog.LevelError, "a listener failed"}
+	SettingsReloaded     = Event{105, slog.LevelInfo, "the settings file was reloaded"}
+	SettingsRejected     = Event{106, slog.LevelWarn, "a changed settings file was rejected"}
+	SpanExportFailed     = Event{107, slog.LevelWarn, "spans could not be exported at shutdown"}
+	ClientRejected       = Event{120, slog.LevelWarn, "there was no room for what a client sent"}
+	ClientGaveWay        = Event{121, slog.LevelWarn, "a client that made no progress had to give way"}
+	DescriptorsExhausted = Event{122, slog.LevelError, "no descriptor is left to accept a connection"}
+	HTTPServerFailed     = Event{123, slog.LevelWarn, "an HTTP server reported a fault"}
+	DiskWriteFailed      = Event{110, slog.LevelError, "a write to disk failed"}
+	LogTruncated         = Event{111, slog.LevelWarn, "a torn record at the end of a log was truncated"}
+	LogCorrupt           = Event{112, slog.LevelError, "a corrupt record before the end of a log was found"}
+	ReplicaCreated       = Event{113, slog.LevelInfo, "the data folder holds no replica; a new replica id was created"}
 )
 
 // Events of ledgers.
@@ -114,6 +118,7 @@
 	return []Event{
 		Started, Draining, Stopped, ShutdownTimedOut, ListenerFailed, SettingsReloaded, SettingsRejected, SpanExportFailed,
 		DiskWriteFailed, LogTruncated, LogCorrupt, ReplicaCreated,
+		ClientRejected, ClientGaveWay, DescriptorsExhausted, HTTPServerFailed,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -22,6 +22,7 @@
 	"papayaquay/core/stream"
 	"papayaquay/core/tick"
 	"papayaquay/io/boottime"
+	"papayaquay/io/client"
 	"papayaquay/io/disk"
 	"papayaquay/io/forward"
 	"papayaquay/io/peer"
@@ -47,14 +48,17 @@
 	backendCodec forward.Codec
 	callers      func(*Process) http.Handler
 	control      func(*Process) http.Handler
+	reject       func(w http.ResponseWriter, r *http.Request, err error)
 }
 
 // NewFrontEnd returns a front end. decode reads a configuration document,
 // backendCodec encodes requests to backend servers and decodes their responses, callers
-// returns the handler for callers, and control returns the handler for operators
-// and backend servers.
-func NewFrontEnd(decode func([]byte) (*routing.Config, error), backendCodec forward.Codec, callers, control func(*Process) http.Handler) FrontEnd {
-	return FrontEnd{decode: decode, backendCodec: backendCodec, callers: callers, control: control}
+// returns the handler for callers, control returns the handler for operators
+// and backend servers, and reject answers a request for which there is no room.
+func NewFrontEnd(decode func([]byte) (*routing.Config, error), backendCodec forward.Codec, callers, control func(*Process) http.Handler,
+	reject func(w http.ResponseWriter, r *http.Request, err error),
+) FrontEnd {
+	return FrontEnd{decode: decode, backendCodec: backendCodec, callers: callers, control: control, reject: reject}
 }
 
 // Process is a running instance.
@@ -85,6 +89,7 @@
 	listeners      []net.Listener
 	servers        []*http.Server
 	shutdownGuard  *socket.ShutdownGuard
+	gate           *client.Gate // takes what clients send
 }
 
 // Option changes a process at construction.
@@ -112,6 +117,7 @@
 	for _, option := range options {
 		option(p)
 	}
+	p.gate = client.NewGate(s.MemoryBytes(), s.MaxDescriptors(), p.logger)
 	p.startedAt = p.wallClock()
 	p.requestContext, p.endRequests = context.WithCancel(context.Background())
 	p.snapshot.Store(cluster.NewSnapshot(nil, nil, nil))
@@ -240,6 +246,7 @@
 	if p.store != nil {
 		p.spawn(func() { p.store.Run(ctx) })
 	}
+	p.spawn(func() { p.gate.Run(ctx) })
 	p.spawn(func() {
 		tick.New(p.inbox, p.controlWorld.Step, p.controlWorld.Next, tick.WithClock[cluster.Input](boottime.Now)).Run(ctx)
 	})
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -8,6 +8,7 @@
 	"net/http/pprof"
 	"time"
 
+	"papayaquay/core/budget"
 	"papayaquay/core/cluster"
 	"papayaquay/io/peer"
 	"papayaquay/io/settings"
@@ -34,31 +35,35 @@
 	}
 	server := peer.NewServer(s.PeerAddress(), peerKeys,
 		peer.ClusterPacketHandler(s.PeerAddress(), func(packet cluster.Packet) { p.inbox.Post(cluster.PacketReceived(packet)) }), p.logger)
-	p.spawn(func() { p.reportFailure(server.Serve(ctx, listener)) })
+	p.spawn(func() { p.reportFailure(server.Serve(ctx, p.gate.Listener(listener, budget.Inside))) })
 
-	endpoints := []struct {
-		address string
-		handler http.Handler
-	}{{s.MetricsAddress(), p.metricsHandler()}}
-	add := func(address string, handler http.Handler) {
-		endpoints = append(endpoints, struct {
-			address string
-			handler http.Handler
-		}{address, handler})
+	for _, e := range p.endpoints() {
+		if err := p.serve(ctx, e); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// endpoint is an HTTP interface of the instance.
+type endpoint struct {
+	address string
+	class   budget.Class
+	handler http.Handler
+}
+
+// endpoints returns the HTTP interfaces of the instance's role.
+func (p *Process) endpoints() []endpoint {
+	s := p.settings
+	endpoints := []endpoint{{s.MetricsAddress(), budget.Inside, p.metricsHandler()}}
 	switch s.Role() {
 	case settings.RoleEntry:
-		add(s.CallerAddress(), p.front.callers(p))
-		add(s.ReadyAddress(), http.HandlerFunc(p.readiness))
+		endpoints = append(endpoints, endpoint{s.CallerAddress(), budget.Outside, p.front.callers(p)},
+			endpoint{s.ReadyAddress(), budget.Inside, http.HandlerFunc(p.readiness)})
 	case settings.RoleControl:
-		add(s.ControlAddress(), p.front.control(p))
-	}
-	for _, endpoint := range endpoints {
-		if err := p.serve(ctx, endpoint.address, endpoint.handler); err != nil {
-			return err
-		}
+		endpoints = append(endpoints, endpoint{s.ControlAddress(), budget.Outside, p.front.control(p)})
 	}
-	return nil
+	return endpoints
 }
 
 // open listens on the local address that belongs to a public address.
@@ -72,19 +77,20 @@
 	return l, nil
 }
 
-// serve starts an HTTP server on an address.
-func (p *Process) serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := p.open(ctx, address)
+// serve starts an HTTP server.
+func (p *Process) serve(ctx context.Context, e endpoint) error {
+	listener, err := p.open(ctx, e.address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return p.requestContext }}
 	p.shutdownGuard.Install(server)
+	p.gate.Install(server, p.front.reject)
 	p.servers = append(p.servers, server)
 	p.spawn(func() {
-		if err := server.Serve(p.shutdownGuard.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
-			p.reportFailure(errors.Wrapf(err, "serve on %s", address))
+		if err := server.Serve(p.shutdownGuard.Listener(p.gate.Listener(listener, e.class))); !errors.Is(err, http.ErrServerClosed) {
+			p.reportFailure(errors.Wrapf(err, "serve on %s", e.address))
 		}
 	})
 	return nil
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -9,7 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"papayaquay/core/budget"
 	"papayaquay/core/event"
+	"papayaquay/io/client"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -97,6 +99,7 @@
 	from          string // name of the sender
 	challenge     challenge
 	authenticated atomic.Bool
+	hold          *budget.Hold // of the connection, nil without a budget
 }
 
 // serve handles one connection until it ends.
@@ -109,6 +112,7 @@
 	}()
 	incoming := &session{server: s, conn: conn, codec: newFrameCodec()}
 	incoming.codec.onPacket = incoming.receive
+	incoming.hold = client.Hold(conn)
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return
 	}
@@ -159,6 +163,9 @@
 	if json.Unmarshal(params, &p) != nil || s.challenge.Nonce == "" || !validProof(s.server.keys(), s.from, s.challenge, p) {
 		return s.reject(rpc)
 	}
+	if s.hold != nil && s.hold.Serving() != nil {
+		return s.reject(rpc)
+	}
 	s.authenticated.Store(true)
 	s.codec.raiseLimit()
 	return s.conn.SetDeadline(time.Time{})
--- a/io/settings/fleet.go
+++ b/io/settings/fleet.go
@@ -44,6 +44,7 @@
 	FirstStart        bool     `toml:"first_start"`
 	ToleratedMachines int      `toml:"tolerated_machines"`
 	MemoryMB          int      `toml:"memory_mb"`
+	MaxDescriptors    int      `toml:"max_descriptors"`
 	ShutdownTimeout   duration `toml:"stop_bound"`
 	LogLevel          string   `toml:"log_level"`
 	Trace             trace    `toml:"trace"`
@@ -101,6 +102,7 @@
 		{f.Role != RoleEntry && f.DataFolder == "", "data_folder: missing"},
 		{f.ToleratedMachines < 0, "tolerated_machines: must not be negative"},
 		{f.MemoryMB < 1, "memory_mb: must be at least 1"},
+		{f.MaxDescriptors < 0, "max_descriptors: must not be negative"},
 		{f.ShutdownTimeout == 0, "stop_bound: must not be zero"},
 		{!isLogLevel(f.LogLevel), "log_level: must be debug, info, warn or error"},
 	} {
@@ -198,6 +200,10 @@
 // MemoryBytes returns the memory limit of the process in bytes.
 func (f *Fleet) MemoryBytes() int64 { return int64(f.content.MemoryMB) << 20 }
 
+// MaxDescriptors returns how many descriptors the process may open, 0 for the limit of the operating
+// system.
+func (f *Fleet) MaxDescriptors() int { return f.content.MaxDescriptors }
+
 // ShutdownTimeout returns the maximum time of a graceful shutdown.
 func (f *Fleet) ShutdownTimeout() time.Duration { return time.Duration(f.content.ShutdownTimeout) }
 
--- a/io/socket/shutdown_guard.go
+++ b/io/socket/shutdown_guard.go
@@ -83,6 +83,9 @@
 	closePending bool // Close was called while a handler was running
 }
 
+// NetConn returns the connection that is guarded.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
 // begin records that a handler starts. It returns false if the connection is
 // closed.
 func (c *guardedConn) begin() bool {
