Reserve the memory of request heads

Cause: the HTTP library decodes a head while it arrives, before any handler runs, and a line of six bytes becomes an entry of a map; each head is bounded, their sum is not.

Ruled out: a smaller limit for one head (pages allow 16 KB; the sum is what counts); the cost of the decoded header only (a head that stops has none yet).

Change: an accepted connection reserves 20 bytes for each byte that it reads between requests, until the handler starts; then the request reserves its decoded header. Without room the connection ends.

TestHeads in io/client; ordinary requests on a kept connection take no more with each one.

--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -2,19 +2,43 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 
 	"papayaquay/core/budget"
 )
 
-// conn is an accepted connection.
+// headCost is the memory that a byte of a request's head takes while it is decoded: a line of a few bytes
+// becomes an entry of a map.
+const headCost = 20
+
+// Memory of a decoded header.
+const (
+	headerLineBytes = 128 // of a line beside its text
+	headerCopies    = 3   // as it was read, as it is passed on, and as it is sent
+)
+
+// headerBytes returns the memory that a header takes until its request ends.
+func headerBytes(h http.Header) int64 {
+	size := 0
+	for name, values := range h {
+		size += len(name) + headerLineBytes
+		for _, v := range values {
+			size += len(v) + headerLineBytes
+		}
+	}
+	return headerCopies * int64(size)
+}
+
+// conn is an accepted connection. Between requests it counts what it reads: the head of the next one.
 type conn struct {
 	net.Conn
 	hold     *budget.Hold
 	mu       sync.Mutex
-	requests int  // that run
-	answered bool // the handler has ended, but not the request: its rest is read, its answer written
-	idle     bool // nothing of the next request has arrived
+	requests int   // that run
+	answered bool  // the handler has ended, but not the request: its rest is read, its answer written
+	idle     bool  // nothing of the next request has arrived
+	head     int64 // reserved for the head of the next request
 }
 
 // unwrap returns the connection that a gate accepted, or nil.
@@ -32,13 +56,20 @@
 	return nil
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It fails if there is no room for the head of a request.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 || !c.readsHead() {
 		return n, err
 	}
 	c.hold.Received(n)
+	cost := int64(n) * headCost
+	if err := c.hold.Grow(cost); err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head += cost
 	return n, err
 }
 
@@ -53,12 +84,14 @@
 	return c.requests == 0
 }
 
-// begin records that the handler of a request starts.
+// begin records that the handler of a request starts. Its header is reserved by the request from now on.
 func (c *conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
 	c.answered = false
+	c.hold.Shrink(c.head)
+	c.head = 0
 	_ = c.hold.Serving() // a connection that has to give way is closed
 }
 
@@ -82,7 +115,8 @@
 	if c.answered {
 		c.requests, c.answered = 0, false
 	}
-	c.idle = true
+	c.hold.Shrink(c.head)
+	c.head, c.idle = 0, true
 	c.hold.Idle()
 }
 
--- a/io/client/gate.go
+++ b/io/client/gate.go
@@ -154,7 +154,7 @@
 		}
 		c.begin()
 		defer c.end(r.ProtoMajor == 1)
-		hold, err := c.hold.Begin(0, func(budget.Resource) { _ = http.NewResponseController(w).SetReadDeadline(past) })
+		hold, err := c.hold.Begin(headerBytes(r.Header), func(budget.Resource) { _ = http.NewResponseController(w).SetReadDeadline(past) })
 		if err != nil {
 			g.lines.log(event.ClientRejected, "path", r.URL.Path, "remote", r.RemoteAddr, "error", err)
 			reject(w, r, err)
--- a/io/client/gate_test.go
+++ b/io/client/gate_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -162,3 +164,22 @@
 	}
 	eventually(t, func() bool { return status(dial(t, address), "GET / HTTP/1.1\r\nHost: x\r\n\r\n") == http.StatusOK })
 }
+
+// TestHeads checks that heads take room while they arrive and while their requests run, and no longer.
+func TestHeads(t *testing.T) {
+	const clients = 40
+	g := newTestGate(t, clients)
+	address := serve(t, g, func(http.ResponseWriter, *http.Request) {})
+	lines := strings.Repeat("A:\r\n", 8<<10) // as much as the room, decoded
+	for range clients {
+		_, _ = io.WriteString(dial(t, address), "GET / HTTP/1.1\r\nHost: x\r\n"+lines)
+	}
+	usage := g.budget.Usage()
+	qt.Assert(t, usage.Bytes() <= usage.Room(), qt.IsTrue)
+	kept := dial(t, address)
+	for range 10 { // ordinary requests on a connection take no more with each one
+		eventually(t, func() bool {
+			return status(kept, fmt.Sprintf("GET / HTTP/1.1\r\nHost: x\r\nB: %s\r\n\r\n", strings.Repeat("x", 500))) == http.StatusOK
+		})
+	}
+}
