--- a/io/client/gate_test.go
+++ b/io/client/gate_test.go
@@ -128,9 +128,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g := newTestGate(t, conns)
-			address := serve(t, g, func(_ http.ResponseWriter, r *http.Request) {
+			address := serve(t, g, func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/" {
-					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = ReadBody(w, r, 1000, time.Now().Add(testTimeout))
 				}
 			})
 			for range 3 * conns {
