Count all of a job that a store instance keeps

Cause: the bound on the memory of jobs counted bodies, results and outputs only; ids, paths, headers and the rows of items cost nothing. It also took the command's size for the job's.

Ruled out: a limit for paths and headers of items (the number of jobs is not bounded by it); a lower bound for all jobs (the uncounted part has no bound).

Change: an item knows its memory when it is made: its texts, 512 bytes for its rows and 64 for each header. Admission counts the command in the log and the job in the state, and decodes the command only where its size could matter.

--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -27,14 +27,29 @@
 	headers []Header
 	body    []byte
 	tokens  int
+	rest    int // bytes of memory without the body
 }
 
+// Memory of an item and of a header beside their texts, in bytes: rows of tables that run items are part
+// of it.
+const (
+	itemOverhead   = 512
+	headerOverhead = 64
+)
+
 // NewItem returns an item. tokens is the number of tokens of its prompt plus the
 // maximum number of tokens that it may generate.
 func NewItem(id, path string, headers []Header, body []byte, tokens int) Item {
-	return Item{id: id, path: path, headers: headers, body: body, tokens: tokens}
+	rest := itemOverhead + len(id) + len(path)
+	for _, h := range headers {
+		rest += headerOverhead + len(h.name) + len(h.value)
+	}
+	return Item{id: id, path: path, headers: headers, body: body, tokens: tokens, rest: rest}
 }
 
+// Bytes returns the memory that the item takes.
+func (i Item) Bytes() int { return i.rest + len(i.body) }
+
 // ID returns the item's id.
 func (i Item) ID() string { return i.id }
 
@@ -144,5 +159,14 @@
 // dead-lettered.
 func (s JobSpec) MaxAttempts() int { return s.maxAttempts }
 
+// Bytes returns the memory that the items take.
+func (s JobSpec) Bytes() int {
+	size := 0
+	for _, item := range s.items {
+		size += item.Bytes()
+	}
+	return size
+}
+
 // Items returns the items.
 func (s JobSpec) Items() []Item { return s.items }
--- a/core/batch/state.go
+++ b/core/batch/state.go
@@ -149,7 +149,7 @@
 	return jobs
 }
 
-// Bytes returns the size in bytes of the bodies, results and partial outputs that the
+// Bytes returns the memory in bytes of the items, results and partial outputs that the
 // state holds.
 func (s *State) Bytes() int {
 	size := 0
@@ -157,12 +157,9 @@
 	return size
 }
 
-// Bytes returns the size in bytes of the bodies, results and partial outputs.
+// Bytes returns the memory in bytes of the items, results and partial outputs.
 func (j Job) Bytes() int {
-	size := 0
-	for _, item := range j.spec.items {
-		size += len(item.body)
-	}
+	size := j.spec.Bytes()
 	for _, r := range j.results {
 		size += len(r.text)
 	}
--- a/core/batch/state_test.go
+++ b/core/batch/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,3 +156,26 @@
 		}
 	})
 }
+
+// TestBytesOfItems checks that the memory of an item counts wherever in the item its size is.
+func TestBytesOfItems(t *testing.T) {
+	const size = 1 << 20
+	long := strings.Repeat("x", size)
+	for _, test := range []struct {
+		name string
+		item Item
+	}{
+		{"body", NewItem("i", "/", nil, []byte(long), 1)},
+		{"path", NewItem("i", long, nil, nil, 1)},
+		{"id", NewItem(long, "/", nil, nil, 1)},
+		{"value of a header", NewItem("i", "/", []Header{NewHeader("a", long)}, nil, 1)},
+		{"name of a header", NewItem("i", "/", []Header{NewHeader(long, "a")}, nil, 1)},
+		{"many headers", NewItem("i", "/", make([]Header, size/headerOverhead), nil, 1)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			state := New()
+			state.Apply(Submit(NewJobSpec("j", "r", "h", []Item{test.item})))
+			qt.Assert(t, state.Bytes() >= size, qt.IsTrue, qt.Commentf("%d", state.Bytes()))
+		})
+	}
+}
--- a/core/cluster/admission.go
+++ b/core/cluster/admission.go
@@ -5,8 +5,8 @@
 	"papayaquay/core/event"
 )
 
-// copiesOfJob counts an accepted job: one is part of the state, one stands in the log.
-const copiesOfJob = 2
+// maxJobGrowth is how many times the bytes of its command a job can take in memory: tiny items take most.
+const maxJobGrowth = 64
 
 // WithMaxJobBytes sets the size in bytes that the jobs and the log of their ledger may take
 // together. Beyond it no more jobs are accepted. 0 means no limit.
@@ -19,7 +19,7 @@
 		return false
 	}
 	state, log := w.jobs.state.Bytes(), w.ledgers.LogBytes(JobsLedger)
-	if state+log+copiesOfJob*len(payload) <= w.maxJobBytes {
+	if state+log+maxJobGrowth*len(payload) <= w.maxJobBytes {
 		return false
 	}
 	command, err := w.codec.Batch.Decode(payload)
@@ -30,6 +30,10 @@
 	if _, accepted := w.jobs.state.Job(id); accepted {
 		return false
 	}
-	event.JobRejected.Log(w.logger, "job", id, "bytes", len(payload), "state", state, "log", log, "limit", w.maxJobBytes)
+	size := len(payload) + command.Spec().Bytes() // one is part of the log, one of the state
+	if state+log+size <= w.maxJobBytes {
+		return false
+	}
+	event.JobRejected.Log(w.logger, "job", id, "bytes", size, "state", state, "log", log, "limit", w.maxJobBytes)
 	return true
 }
