Reserve packets between instances before they are read

Cause: frames were bounded each (128 MB), not in sum; a stalled frame kept what came; decoded packets waited for the control thread without a bound.

Change: a frame is reserved before it is read, by its connection in the budget, ahead of what clients send. Its sender waits meanwhile. A packet of 64 KB or more is held until the control thread has read it. A large packet is written without another copy.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -283,3 +283,14 @@
 	c.Close()
 	qt.Assert(t, f.Usage(), qt.Equals, Usage{room: testBytes})
 }
+
+// TestLargestPacket checks that a reservation of an instance that is larger than all room is given back as
+// it was taken.
+func TestLargestPacket(t *testing.T) {
+	f := newFixture()
+	c := f.connect(t, "c", Inside)
+	qt.Assert(t, c.Grow(2*testBytes), qt.IsNil)
+	qt.Assert(t, f.Usage().Bytes(), qt.Equals, int64(ConnectionBytes+testBytes/insideBytesShare))
+	c.Shrink(2 * testBytes)
+	qt.Assert(t, f.Usage().Bytes(), qt.Equals, int64(ConnectionBytes))
+}
--- a/core/budget/hold.go
+++ b/core/budget/hold.go
@@ -109,9 +109,7 @@
 func (h *Hold) reserve(w wait) error {
 	b := h.budget
 	b.mu.Lock()
-	if h.class == Inside {
-		w.bytes = min(w.bytes, b.bytes/insideBytesShare)
-	}
+	w.bytes = h.charged(w.bytes)
 	switch {
 	case h.gaveWay:
 		b.mu.Unlock()
@@ -133,11 +131,19 @@
 	return <-w.result
 }
 
-// Shrink gives bytes back.
+// charged returns what a reservation takes: half of the room at most for an instance.
+func (h *Hold) charged(bytes int64) int64 {
+	if h.class == Inside {
+		return min(bytes, h.budget.bytes/insideBytesShare)
+	}
+	return bytes
+}
+
+// Shrink gives back the bytes of one reservation or a part of them.
 func (h *Hold) Shrink(bytes int64) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.shrink(bytes)
+	h.shrink(h.charged(bytes))
 }
 
 // shrink gives bytes back while the budget is locked.
--- a/core/cluster/input.go
+++ b/core/cluster/input.go
@@ -13,6 +13,7 @@
 // Input is one message to the control world. The functions below create it.
 type Input struct {
 	packet         *Packet
+	taken          func() // told when the packet was read, may be nil
 	synced         uint64
 	call           *call.Call
 	reply          func(call.Reply)
@@ -37,6 +38,9 @@
 // PacketReceived delivers a packet from another instance.
 func PacketReceived(p Packet) Input { return Input{packet: &p} }
 
+// PacketTaken is PacketReceived for a packet whose sender waits until it was read.
+func PacketTaken(p Packet, taken func()) Input { return Input{packet: &p, taken: taken} }
+
 // Synced reports that all batches of records up to sequence are on disk.
 func Synced(sequence uint64) Input { return Input{synced: sequence} }
 
--- a/core/cluster/receive.go
+++ b/core/cluster/receive.go
@@ -21,6 +21,9 @@
 	switch {
 	case input.packet != nil:
 		w.receivePacket(now, *input.packet)
+		if input.taken != nil {
+			input.taken()
+		}
 	case input.synced != 0:
 		w.ledgers.MarkDurable(input.synced)
 	case input.call != nil:
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -42,6 +42,7 @@
 	ClientGaveWay        = Event{121, slog.LevelWarn, "a client that made no progress had to give way"}
 	DescriptorsExhausted = Event{122, slog.LevelError, "no descriptor is left to accept a connection"}
 	HTTPServerFailed     = Event{123, slog.LevelWarn, "an HTTP server reported a fault"}
+	PacketDropped        = Event{124, slog.LevelWarn, "a packet between instances was dropped because there was no room for it"}
 	DiskWriteFailed      = Event{110, slog.LevelError, "a write to disk failed"}
 	LogTruncated         = Event{111, slog.LevelWarn, "a torn record at the end of a log was truncated"}
 	LogCorrupt           = Event{112, slog.LevelError, "a corrupt record before the end of a log was found"}
@@ -118,7 +119,7 @@
 	return []Event{
 		Started, Draining, Stopped, ShutdownTimedOut, ListenerFailed, SettingsReloaded, SettingsRejected, SpanExportFailed,
 		DiskWriteFailed, LogTruncated, LogCorrupt, ReplicaCreated,
-		ClientRejected, ClientGaveWay, DescriptorsExhausted, HTTPServerFailed,
+		ClientRejected, ClientGaveWay, DescriptorsExhausted, HTTPServerFailed, PacketDropped,
 		LeaderChanged, LedgerRestored, CommandInvalid, SnapshotFailed, CallEncodingFailed, LedgerMemory,
 		InstanceChanged, BackendAdded, BackendLeaving, BackendGone, AnnouncementRejected, BackendSaidLeaving, PeerRejected,
 		AttemptFailed, BackendLost, PoisonRequestRejected, ServerCrashed, PartQuarantined, QuarantineEnded, QuarantinedRequestRejected, AnswerTooLong, BackendLimitChanged, StreamTakenUp,
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -33,8 +33,7 @@
 	if err != nil {
 		return err
 	}
-	server := peer.NewServer(s.PeerAddress(), peerKeys,
-		peer.ClusterPacketHandler(s.PeerAddress(), func(packet cluster.Packet) { p.inbox.Post(cluster.PacketReceived(packet)) }), p.logger)
+	server := peer.NewServer(s.PeerAddress(), peerKeys, peer.ClusterPacketHandler(s.PeerAddress(), p.deliver), p.logger)
 	p.spawn(func() { p.reportFailure(server.Serve(ctx, p.gate.Listener(listener, budget.Inside))) })
 
 	for _, e := range p.endpoints() {
@@ -66,6 +65,23 @@
 	return endpoints
 }
 
+// largePacketBytes is the size from which a packet's sender waits until the control thread has read it.
+const largePacketBytes = 64 << 10
+
+// deliver passes a packet of another instance to the control thread.
+func (p *Process) deliver(packet cluster.Packet, size int) {
+	if size < largePacketBytes {
+		p.inbox.Post(cluster.PacketReceived(packet))
+		return
+	}
+	taken := make(chan struct{})
+	p.inbox.Post(cluster.PacketTaken(packet, func() { close(taken) }))
+	select {
+	case <-taken:
+	case <-p.requestContext.Done(): // the control thread may have ended
+	}
+}
+
 // open listens on the local address that belongs to a public address.
 func (p *Process) open(ctx context.Context, address string) (net.Listener, error) {
 	address = p.settings.ListenAddress(address)
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -31,7 +31,9 @@
 // stream, without a JSON envelope.
 type frameCodec struct {
 	limit    *atomic.Int64
-	onPacket func([]byte) error // handles received packets; nil if none are accepted
+	onPacket func([]byte) error      // handles received packets; nil if none are accepted
+	reserve  func(bytes int64) error // before a packet is read; nil if that takes no room of others
+	release  func(bytes int64)       // after it was handled
 }
 
 // newFrameCodec returns a codec with the limit for unauthenticated senders.
@@ -55,16 +57,22 @@
 	return errors.Wrap(err, "write frame")
 }
 
-// writePacket writes one frame with an encoded packet in parts. The first part is copied
-// behind the frame's header; the others may be shared by packets to many instances.
+// maxCopiedBytes is the size up to which the first part of a packet is copied behind the frame's header:
+// one write costs less than two.
+const maxCopiedBytes = 16 << 10
+
+// writePacket writes one frame with an encoded packet in parts. Large parts are not copied; they may be
+// shared by packets to many instances.
 func writePacket(stream io.Writer, parts [][]byte) error {
 	size := 1
 	for _, part := range parts {
 		size += len(part)
 	}
-	first := make([]byte, 0, len(parts[0])+1+binary.MaxVarintLen64)
-	first = append(append(binary.AppendUvarint(first, uint64(size)), packetPrefix), parts[0]...)
-	for _, part := range append([][]byte{first}, parts[1:]...) {
+	head := append(binary.AppendUvarint(nil, uint64(size)), packetPrefix)
+	if len(parts[0]) <= maxCopiedBytes {
+		head, parts = append(head, parts[0]...), parts[1:]
+	}
+	for _, part := range append([][]byte{head}, parts...) {
 		if _, err := stream.Write(part); err != nil {
 			return errors.Wrap(err, "write packet")
 		}
@@ -91,15 +99,28 @@
 		if prefix[0] != packetPrefix || size == 0 {
 			return errors.Wrap(json.NewDecoder(io.LimitReader(stream, int64(size))).Decode(value), "decode object")
 		}
-		data := make([]byte, size)
-		if _, err := io.ReadFull(stream, data); err != nil {
-			return err
-		}
 		if c.onPacket == nil {
 			return errors.Wrap(ErrMisdirected, "this connection accepts no packets")
 		}
-		if err := c.onPacket(data[1:]); err != nil {
+		if err := c.readPacket(stream, int64(size)); err != nil {
+			return err
+		}
+	}
+}
+
+// readPacket reads a frame with a packet and passes the packet to onPacket. If there is no room for a
+// packet, it is dropped like one that was lost on the way: what must arrive is sent again.
+func (c frameCodec) readPacket(stream io.Reader, size int64) error {
+	if c.reserve != nil {
+		if err := c.reserve(size); err != nil {
+			_, err = io.CopyN(io.Discard, stream, size)
 			return err
 		}
+		defer c.release(size)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(stream, data); err != nil {
+		return err
 	}
+	return c.onPacket(data[1:])
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -112,7 +112,9 @@
 	}()
 	incoming := &session{server: s, conn: conn, codec: newFrameCodec()}
 	incoming.codec.onPacket = incoming.receive
-	incoming.hold = client.Hold(conn)
+	if incoming.hold = client.Hold(conn); incoming.hold != nil {
+		incoming.codec.reserve, incoming.codec.release = incoming.reserve, incoming.hold.Shrink
+	}
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return
 	}
@@ -171,6 +173,18 @@
 	return s.conn.SetDeadline(time.Time{})
 }
 
+// frameTimeout is the time in which a large packet must arrive after its first bytes.
+const frameTimeout = 10 * time.Second
+
+// reserve reserves room for a packet. Without room it waits, and the sender with it.
+func (s *session) reserve(bytes int64) error {
+	if err := s.hold.Grow(bytes); err != nil {
+		event.PacketDropped.Log(s.server.logger, "from", s.from, "bytes", bytes, "error", err)
+		return err
+	}
+	return s.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+}
+
 // receive passes one packet of an authenticated sender to deliver. It returns an
 // error for a packet before authentication.
 func (s *session) receive(data []byte) error {
--- a/io/peer/wire_cluster.go
+++ b/io/peer/wire_cluster.go
@@ -110,9 +110,9 @@
 }
 
 // ClusterPacketHandler returns a function for NewServer that decodes packets for
-// the cluster world at a peer address and passes them to deliver. The function
+// the cluster world at a peer address and passes them to deliver, with their size in bytes. The function
 // returns ErrMisdirected for a packet with another sender or receiver.
-func ClusterPacketHandler(address string, deliver func(cluster.Packet)) func(from string, data []byte) error {
+func ClusterPacketHandler(address string, deliver func(packet cluster.Packet, size int)) func(from string, data []byte) error {
 	return func(from string, data []byte) error {
 		p, err := DecodeCluster(data)
 		if err != nil {
@@ -121,7 +121,7 @@
 		if p.From() != from || p.To() != address {
 			return errors.Wrapf(ErrMisdirected, "from %s to %s", p.From(), p.To())
 		}
-		deliver(p)
+		deliver(p, len(data))
 		return nil
 	}
 }
