Reserve answers that are read by clients or sent to other instances

Cause: the replies of one tick to an instance were one packet, whatever their number, and were copied into it; replies waited in queues without a bound; a page is in memory five times until it is written.

Ruled out: a limit for concurrent reads (they wait for results for a second each, and most are small); reserving the largest page before the call (seven readers would fill an entry).

Change: a large request or reply travels in a packet of its own, so that replies are not copied and the receiver reads one at a time. Packets with large payloads are reserved from the tick that makes them until they were sent, or dropped.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -294,3 +294,16 @@
 	c.Shrink(2 * testBytes)
 	qt.Assert(t, f.Usage().Bytes(), qt.Equals, int64(ConnectionBytes))
 }
+
+// TestTryGrow checks that those who hold bytes already do not wait for room.
+func TestTryGrow(t *testing.T) {
+	f := newFixture()
+	h := f.begin(t, "r", f.connect(t, "c", Outside), 0)
+	qt.Assert(t, h.TryGrow(600*kib), qt.IsNil)
+	qt.Assert(t, errors.Is(h.TryGrow(600*kib), ErrNoRoom), qt.IsTrue)
+	h.Shrink(600 * kib)
+	qt.Assert(t, h.TryGrow(600*kib), qt.IsNil)
+	sent := f.Open(Inside)
+	qt.Assert(t, errors.Is(sent.TryGrow(600*kib), ErrNoRoom), qt.IsTrue)
+	qt.Assert(t, f.Usage().Rejected(), qt.Equals, uint64(2))
+}
--- a/core/budget/hold.go
+++ b/core/budget/hold.go
@@ -77,6 +77,13 @@
 	return h, nil
 }
 
+// Open adds a holder of what the process sends to others. It never has to give way.
+func (b *Budget) Open(class Class) *Hold {
+	h := b.newHold(class, nil, func(Resource) {})
+	_ = h.Serving()
+	return h
+}
+
 // Begin reserves the memory of a request on a connection, with the size of its decoded header. See
 // Connect.
 func (h *Hold) Begin(header int64, release func(Resource)) (*Hold, error) {
@@ -105,6 +112,24 @@
 	return h.reserve(wait{hold: h, bytes: bytes})
 }
 
+// TryGrow reserves more bytes if there is room for them now. It is for those who hold the bytes already, and
+// must drop them otherwise.
+func (h *Hold) TryGrow(bytes int64) error {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := wait{hold: h, bytes: h.charged(bytes)}
+	switch {
+	case h.gaveWay:
+		return ErrGaveWay
+	case !b.fits(w):
+		b.rejected++
+		return ErrNoRoom
+	}
+	b.take(w)
+	return nil
+}
+
 // reserve takes room or waits for it.
 func (h *Hold) reserve(w wait) error {
 	b := h.budget
--- a/core/cluster/outbox.go
+++ b/core/cluster/outbox.go
@@ -48,6 +48,10 @@
 	if o.packets.Len() == 0 {
 		return
 	}
-	o.packets.Each(func(_ string, p *Packet) { send(*p) })
+	o.packets.Each(func(_ string, p *Packet) {
+		for _, part := range p.Split() {
+			send(part)
+		}
+	})
 	o.packets = table.New[string, Packet]()
 }
--- a/io/client/gate.go
+++ b/io/client/gate.go
@@ -60,6 +60,9 @@
 	return int(min(limit.Cur, 1<<20))
 }
 
+// Outgoing returns what the process sends to other instances holds.
+func (g *Gate) Outgoing() *budget.Hold { return g.budget.Open(budget.Inside) }
+
 // Run runs the ticks of the budget until the context ends.
 func (g *Gate) Run(ctx context.Context) {
 	tick.New(g.inbox, func(now time.Time, _ []struct{}) { g.budget.Step(now) }, g.budget.Next).Run(ctx)
@@ -185,6 +188,14 @@
 	return nil
 }
 
+// TryReserve reserves memory for what a request holds already, until the request ends. It does not wait.
+func TryReserve(ctx context.Context, bytes int64) error {
+	if hold := holdOf(ctx); hold != nil {
+		return hold.TryGrow(bytes)
+	}
+	return nil
+}
+
 // Release gives back memory that was reserved for a request.
 func Release(ctx context.Context, bytes int64) {
 	if hold := holdOf(ctx); hold != nil {
--- a/io/fleet/calls.go
+++ b/io/fleet/calls.go
@@ -11,6 +11,7 @@
 	"papayaquay/core/member"
 	"papayaquay/core/registry"
 	"papayaquay/io/boottime"
+	"papayaquay/io/client"
 	"papayaquay/io/otlp"
 	"papayaquay/io/record"
 
@@ -58,6 +59,18 @@
 	return nil, ErrOutcomeUnknown
 }
 
+// read makes a call for a request that passes its reply on. Without room for the reply it is dropped.
+func (p *Process) read(ctx context.Context, kind call.Kind, target call.Target, timeout time.Duration, payload []byte) ([]byte, error) {
+	data, err := p.call(kind, target, timeout, payload)
+	if err == nil {
+		err = client.TryReserve(ctx, int64(len(data)))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return data, nil
+}
+
 // Submit submits a batch job. The job is durable if there is no error.
 func (p *Process) Submit(spec batch.JobSpec, timeout time.Duration) error {
 	payload, err := codec.Batch.Encode(batch.Submit(spec))
@@ -78,14 +91,21 @@
 	return err
 }
 
+// pageCopies is how often a page of results is in memory until it is written: as it came, decoded, and
+// encoded for its reader.
+const pageCopies = 5
+
 // Results returns results of a job from a position on. It waits at most maxWait
 // for the first of them.
-func (p *Process) Results(id string, after int, maxWait, timeout time.Duration) (batch.Page, error) {
+func (p *Process) Results(ctx context.Context, id string, after int, maxWait, timeout time.Duration) (batch.Page, error) {
 	payload, err := codec.Query.Encode(cluster.NewQuery(id, after, ""))
 	if err != nil {
 		return batch.Page{}, err
 	}
 	data, err := p.call(call.KindPage, call.TargetJobs, timeout, payload, call.WithMaxWait(maxWait))
+	if err == nil {
+		err = client.TryReserve(ctx, pageCopies*int64(len(data)))
+	}
 	if err != nil {
 		return batch.Page{}, err
 	}
@@ -93,12 +113,12 @@
 }
 
 // ItemBody returns the body of an item that has no result yet.
-func (p *Process) ItemBody(job, item string, timeout time.Duration) ([]byte, error) {
+func (p *Process) ItemBody(ctx context.Context, job, item string, timeout time.Duration) ([]byte, error) {
 	payload, err := codec.Query.Encode(cluster.NewQuery(job, 0, item))
 	if err != nil {
 		return nil, err
 	}
-	return p.call(call.KindBody, call.TargetJobs, timeout, payload)
+	return p.read(ctx, call.KindBody, call.TargetJobs, timeout, payload)
 }
 
 // Configure makes a configuration document durable. The document with the
@@ -113,8 +133,8 @@
 }
 
 // Document returns the newest configuration document, with a linearizable read.
-func (p *Process) Document(timeout time.Duration) ([]byte, error) {
-	return p.call(call.KindDocument, call.TargetControl, timeout, nil)
+func (p *Process) Document(ctx context.Context, timeout time.Duration) ([]byte, error) {
+	return p.read(ctx, call.KindDocument, call.TargetControl, timeout, nil)
 }
 
 // Retire starts to move all data off the store instance with the given name.
--- a/io/fleet/process.go
+++ b/io/fleet/process.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"papayaquay/core/budget"
 	"papayaquay/core/cluster"
 	"papayaquay/core/entry"
 	"papayaquay/core/event"
@@ -90,6 +91,7 @@
 	servers        []*http.Server
 	shutdownGuard  *socket.ShutdownGuard
 	gate           *client.Gate // takes what clients send
+	outgoing       *budget.Hold // large packets that wait to be sent
 }
 
 // Option changes a process at construction.
@@ -118,6 +120,7 @@
 		option(p)
 	}
 	p.gate = client.NewGate(s.MemoryBytes(), s.MaxDescriptors(), p.logger)
+	p.outgoing = p.gate.Outgoing()
 	p.startedAt = p.wallClock()
 	p.requestContext, p.endRequests = context.WithCancel(context.Background())
 	p.snapshot.Store(cluster.NewSnapshot(nil, nil, nil))
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -7,6 +7,7 @@
 
 	"papayaquay/core/cluster"
 	"papayaquay/core/directory"
+	"papayaquay/core/event"
 	"papayaquay/core/ledger"
 	"papayaquay/core/member"
 	"papayaquay/core/runner"
@@ -72,9 +73,18 @@
 	p.controlWorld = cluster.New(now, self, record.NewClusterCodec(), p.front.decode, options...)
 }
 
-// send sends a packet to another instance.
+// send sends a packet to another instance. A large one is dropped if there is no room for it until it is
+// sent: what must arrive is sent again.
 func (p *Process) send(packet cluster.Packet) {
-	p.peerClient.Send(context.Background(), packet.To(), func() ([][]byte, error) { return peer.EncodeCluster(packet) })
+	done := func() {}
+	if size := int64(packet.PayloadBytes()); size >= largePacketBytes {
+		if err := p.outgoing.TryGrow(size); err != nil {
+			event.PacketDropped.Log(p.logger, "to", packet.To(), "bytes", size, "error", err)
+			return
+		}
+		done = func() { p.outgoing.Shrink(size) }
+	}
+	p.peerClient.Send(context.Background(), packet.To(), func() ([][]byte, error) { return peer.EncodeCluster(packet) }, done)
 }
 
 // publish stores a new snapshot for the other threads.
--- a/io/instance/instance.go
+++ b/io/instance/instance.go
@@ -194,7 +194,7 @@
 			i.peerClient.Send(context.Background(), p.Address(), func() ([][]byte, error) {
 				data, err := peer.Encode(p)
 				return [][]byte{data}, err
-			})
+			}, func() {})
 		}),
 		control.WithPublish(i.publish), control.WithPost(i.controlInbox.Post),
 		control.WithBackground(func(work func()) { go work() }),
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -63,23 +63,30 @@
 type sender struct {
 	client  *Client
 	address string
-	queue   chan func() ([][]byte, error)
+	queue   chan queued
+}
+
+// queued is a packet that waits to be sent.
+type queued struct {
+	encode func() ([][]byte, error)
+	done   func() // called when the packet was sent or dropped
 }
 
 // Send queues a packet for the instance at a peer address. It never blocks and
 // drops the packet when the queue is full. encode runs on another goroutine and returns
-// the encoded packet in parts, at least one.
-func (c *Client) Send(ctx context.Context, address string, encode func() ([][]byte, error)) {
+// the encoded packet in parts, at least one. done is called when the packet was sent or dropped.
+func (c *Client) Send(ctx context.Context, address string, encode func() ([][]byte, error), done func()) {
 	c.mu.Lock()
 	s := c.senders[address]
 	if s == nil {
-		s = &sender{client: c, address: address, queue: make(chan func() ([][]byte, error), maxQueuedPackets)}
+		s = &sender{client: c, address: address, queue: make(chan queued, maxQueuedPackets)}
 		c.senders[address] = s
 		go s.run(ctx)
 	}
 	select {
-	case s.queue <- encode:
+	case s.queue <- queued{encode: encode, done: done}:
 	default: // the queue is full because the instance is unreachable: drop the packet
+		done()
 	}
 	c.mu.Unlock()
 }
@@ -96,25 +103,22 @@
 		}
 	}()
 	for {
-		encode, ok := s.next(ctx)
+		packet, ok := s.next(ctx)
 		if !ok {
 			return
 		}
-		if rpc == nil {
-			if time.Since(failedAt) < dialRetryInterval {
-				continue
-			}
+		if rpc == nil && time.Since(failedAt) >= dialRetryInterval {
 			var err error
 			if rpc, conn, err = s.connect(ctx); err != nil {
-				failedAt = time.Now()
+				rpc, failedAt = nil, time.Now()
 				s.discardQueue()
-				continue
 			}
 		}
-		if s.write(rpc, conn, encode) != nil {
+		if rpc != nil && s.write(rpc, conn, packet.encode) != nil {
 			rpc.Close()
 			rpc, failedAt = nil, time.Now()
 		}
+		packet.done()
 	}
 }
 
@@ -123,7 +127,8 @@
 func (s *sender) discardQueue() {
 	for {
 		select {
-		case <-s.queue:
+		case packet := <-s.queue:
+			packet.done()
 		default:
 			return
 		}
@@ -132,24 +137,24 @@
 
 // next returns the next packet, or false when the sender must stop. It removes an
 // idle sender from the client.
-func (s *sender) next(ctx context.Context) (func() ([][]byte, error), bool) {
+func (s *sender) next(ctx context.Context) (queued, bool) {
 	idle := time.NewTimer(idleCloseTimeout)
 	defer idle.Stop()
 	select {
-	case encode := <-s.queue:
-		return encode, true
+	case packet := <-s.queue:
+		return packet, true
 	case <-ctx.Done():
-		return nil, false
+		return queued{}, false
 	case <-idle.C:
 	}
 	s.client.mu.Lock()
 	defer s.client.mu.Unlock()
 	select {
-	case encode := <-s.queue:
-		return encode, true
+	case packet := <-s.queue:
+		return packet, true
 	default:
 		delete(s.client.senders, s.address)
-		return nil, false
+		return queued{}, false
 	}
 }
 
