Put what clients of serve send within the budget

Cause: messages were bounded each and read into buffers that double; 30 s to arrive; empty messages of two bytes become rows of a hundred; a compressed message grows a thousandfold; all without a sum.

Ruled out: no compression (clients of gRPC use it); a smaller message (jobs come in parts of 100,000 items); counting values as they arrive (neither nested nor compressed ones can be seen).

Change: serve accepts through the gate as run does (new: limits.memory_mb, 512). A body reserves three copies and the values that it may hold, a compressed one for its largest content, as it arrives; when its message was decoded only that is kept. Codecs for JSON and binary messages count values before decoding and reject more than 15 MiB and twice the message: 100,000 items fit. A call without room gets resource_exhausted and CODE_NOT_RUN in its own protocol. HTTP/2: 100 streams and 64 KB unread.

TestCrowdOfOneAtServe passes before and after: largest messages in five protocols and encodings. Found and not fixed: TestCrowdsKeptAtServe, what serve keeps of accepted requests has no bound: 3,788 MB of 512 MB.

--- a/io/caller/ask.go
+++ b/io/caller/ask.go
@@ -19,6 +19,9 @@
 // Ask runs one online request and streams its answer. It cancels the request when
 // the caller disconnects.
 func (s *Server) Ask(ctx context.Context, request *connect.Request[papayaquayv1.AskRequest], stream *connect.ServerStream[papayaquayv1.AskResponse]) error {
+	if err := rpc.Received(ctx, request.Msg); err != nil {
+		return err
+	}
 	account, err := s.authenticateHeader(request.Header())
 	if err != nil {
 		return rpc.ConnectError(err)
--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -115,6 +115,9 @@
 // ListResults streams the answers of a job's finished items, in pages of
 // resultsPageSize.
 func (s *Server) ListResults(ctx context.Context, request *connect.Request[papayaquayv1.ListResultsRequest], stream *connect.ServerStream[papayaquayv1.ListResultsResponse]) error {
+	if err := rpc.Received(ctx, request.Msg); err != nil {
+		return err
+	}
 	account, err := s.authenticateHeader(request.Header())
 	if err != nil {
 		return rpc.ConnectError(err)
--- a/io/client/conn.go
+++ b/io/client/conn.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
@@ -30,12 +31,16 @@
 	return headerCopies * int64(size)
 }
 
+// http2Preface begins an HTTP/2 connection (RFC 9113, section 3.4).
+const http2Preface = "PRI * HTTP/2.0"
+
 // conn is an accepted connection. Between requests it counts what it reads: the head of the next one.
 type conn struct {
 	net.Conn
 	hold     *budget.Hold
 	mu       sync.Mutex
-	requests int   // that run
+	requests int // that run
+	http2    bool
 	answered bool  // the handler has ended, but not the request: its rest is read, its answer written
 	idle     bool  // nothing of the next request has arrived
 	head     int64 // reserved for the head of the next request
@@ -63,12 +68,17 @@
 		return n, err
 	}
 	c.hold.Received(n)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.http2 = c.http2 || bytes.HasPrefix(p[:n], []byte(http2Preface))
+	if c.http2 { // the library bounds the head of a stream, and frames without a stream come at any time
+		c.hold.Shrink(c.head)
+		c.head = 0
+	}
 	cost := int64(n) * headCost
 	if err := c.hold.Grow(cost); err != nil {
 		return 0, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.head += cost
 	return n, err
 }
--- a/io/client/values_test.go
+++ b/io/client/values_test.go
@@ -6,27 +6,26 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestValues checks the cost of decoded JSON, also of a text that comes in parts.
-func TestValues(t *testing.T) {
+// TestCountValues checks what is counted in JSON.
+func TestCountValues(t *testing.T) {
 	for _, test := range []struct {
-		name, text string
-		cost       int64
+		name, text      string
+		objects, values int
 	}{
-		{"a value", `1`, 0},
-		{"an object", `{}`, objectCost},
-		{"members", `{"a":1,"b":2}`, objectCost + 3*valueCost},
-		{"nested", `[[],{},"x"]`, 3*objectCost + 2*valueCost},
-		{"text", `"{[,:\"{[,:"`, 0},
-		{"an escaped end", `"\\",1`, valueCost},
-		{"items", `{"requests":[{},{}]}`, 4*objectCost + 2*valueCost},
+		{"a value", `1`, 0, 0},
+		{"an object", `{}`, 1, 0},
+		{"members", `{"a":1,"b":2}`, 1, 3},
+		{"nested", `[[],{},"x"]`, 3, 2},
+		{"text", `"{[,:\"{[,:"`, 0, 0},
+		{"an escaped end", `"\\",1`, 0, 1},
+		{"no end of a text", `{"a`, 1, 0},
+		{"no end of an escape", `{"a\`, 1, 0},
+		{"items", `{"requests":[{},{}]}`, 4, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			var whole, parts valueCounter
-			qt.Check(t, whole.add([]byte(test.text)), qt.Equals, test.cost)
-			for n := range len(test.text) {
-				parts.add([]byte(test.text[n : n+1]))
-			}
-			qt.Check(t, parts.cost, qt.Equals, test.cost)
+			objects, values := CountValues([]byte(test.text))
+			qt.Check(t, objects, qt.Equals, test.objects)
+			qt.Check(t, values, qt.Equals, test.values)
 		})
 	}
 }
--- a/io/instance/http.go
+++ b/io/instance/http.go
@@ -8,6 +8,7 @@
 
 	"papayaquay/io/backend"
 	"papayaquay/io/caller"
+	"papayaquay/io/client"
 	"papayaquay/io/operator"
 	"papayaquay/io/rpc"
 	"papayaquay/proto/papayaquay/v1/papayaquayv1connect"
@@ -23,6 +24,11 @@
 	bodyTimeout    = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
+
+	// Of an HTTP/2 connection: streams at a time, and bytes that wait to be read, which no request has
+	// reserved yet.
+	maxStreams         = 100
+	receiveBufferBytes = 64 << 10
 )
 
 // newHTTPServer returns the server for callers, operators and backend servers.
@@ -31,20 +37,40 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           i.handler(),
+	server := &http.Server{
+		Handler: client.Messages(i.handler(), rpc.MemoryOf, rpc.RoomError),
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams,
+			MaxReceiveBufferPerConnection: receiveBufferBytes, MaxReceiveBufferPerStream: receiveBufferBytes},
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	i.gate.Install(server, rejectCall(connect.NewErrorWriter(callOptions()...)))
+	return server
+}
+
+// callOptions returns the options of all handlers of calls.
+func callOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithReadMaxBytes(rpc.MaxMessageBytes), rpc.Codecs()}
+}
+
+// rejectCall returns a function that answers a request for which there is no room, in the protocol of its call.
+func rejectCall(writer *connect.ErrorWriter) func(w http.ResponseWriter, r *http.Request, err error) {
+	return func(w http.ResponseWriter, r *http.Request, err error) {
+		if !writer.IsSupported(r) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_ = writer.Write(w, r, rpc.RoomError(err)) // a client that disconnected needs no answer
+	}
 }
 
 // handler returns the handler of all HTTP routes.
 func (i *Instance) handler() http.Handler {
 	mux := http.NewServeMux()
 	middleware := metrics().meter().Middleware()
-	options := []connect.HandlerOption{connect.WithReadMaxBytes(rpc.MaxMessageBytes)}
+	options := callOptions()
 	mux.Handle(papayaquayv1connect.NewCallerServiceHandler(caller.New(i.settings.DataCentre(),
 		caller.WithTraffic(i.submit, i.cancel), caller.WithControl(i.Call, i.snapshot.Load),
 		caller.WithRequireAccount(i.settings.RequireAccount()), caller.WithChain(middleware)), options...))
--- a/io/instance/instance.go
+++ b/io/instance/instance.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"papayaquay/core/budget"
 	"papayaquay/core/config"
 	"papayaquay/core/control"
 	"papayaquay/core/event"
@@ -20,6 +21,7 @@
 	"papayaquay/core/member"
 	"papayaquay/core/tick"
 	"papayaquay/core/traffic"
+	"papayaquay/io/client"
 	"papayaquay/io/disk"
 	"papayaquay/io/engine"
 	"papayaquay/io/otlp"
@@ -69,6 +71,7 @@
 	peerListener    net.Listener
 	httpListener    net.Listener
 	httpServer      *http.Server
+	gate            *client.Gate // takes what clients send
 	listenerFailure atomic.Pointer[error]
 }
 
@@ -103,6 +106,7 @@
 	for _, option := range options {
 		option(i)
 	}
+	i.gate = client.NewGate(s.MemoryBytes(), 0, i.logger)
 	i.owner = fmt.Sprintf("%s#%d", s.Name(), i.startTime.UnixMilli())
 	if err := i.acquire(ctx); err != nil {
 		i.release()
@@ -298,10 +302,11 @@
 	}
 	server := peer.NewServer(i.settings.Name(), func() []string { return i.secrets.Load().PeerKeys() },
 		peer.PacketHandler(i.settings.Name(), func(p control.Packet) { i.controlInbox.Post(control.PacketReceived(p)) }), i.logger)
-	i.spawn(func() { i.recordFailure(server.Serve(ctx, i.peerListener)) })
+	i.spawn(func() { i.recordFailure(server.Serve(ctx, i.gate.Listener(i.peerListener, budget.Inside))) })
+	i.spawn(func() { i.gate.Run(ctx) })
 	i.httpServer = i.newHTTPServer()
 	i.spawn(func() {
-		if err := i.httpServer.Serve(i.httpListener); !errors.Is(err, http.ErrServerClosed) {
+		if err := i.httpServer.Serve(i.gate.Listener(i.httpListener, budget.Outside)); !errors.Is(err, http.ErrServerClosed) {
 			i.recordFailure(errors.Wrap(err, "serve HTTP"))
 		}
 	})
--- a/io/rpc/rpc.go
+++ b/io/rpc/rpc.go
@@ -67,6 +67,9 @@
 func Unary[Req, Res any](ctx context.Context, request *connect.Request[Req], chain endpoint.Middleware,
 	serve func(context.Context, *connect.Request[Req]) (*Res, error),
 ) (*connect.Response[Res], error) {
+	if err := Received(ctx, request.Msg); err != nil {
+		return nil, err
+	}
 	call := chain(func(ctx context.Context, _ any) (any, error) { return serve(ctx, request) })
 	response, err := call(ctx, request.Msg)
 	if err != nil {
--- a/io/settings/access.go
+++ b/io/settings/access.go
@@ -75,6 +75,9 @@
 	return time.Duration(s.content.Limits.ProbeInterval)
 }
 
+// MemoryBytes returns the memory of the process in bytes.
+func (s *Settings) MemoryBytes() int64 { return int64(s.content.Limits.MemoryMB) << 20 }
+
 // QueueLimit returns the maximum number of waiting requests in one traffic thread.
 func (s *Settings) QueueLimit() int { return s.content.Limits.QueueLimit }
 
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -26,6 +26,7 @@
 	DefaultTrafficThreads    = 2
 	DefaultShutdownTimeout   = 30 * time.Second
 	DefaultLoadBalancerDelay = 2 * time.Second
+	DefaultMemoryMB          = 512
 
 	maxTrafficThreads = 64
 )
@@ -76,6 +77,7 @@
 	LoadBalancerDelay duration `toml:"balancer_pause"` // between "not ready" and the rejection of new requests
 	ItemLease         duration `toml:"item_lease"`     // duration of the lease of a batch item
 	ProbeInterval     duration `toml:"probe_interval"` // interval of membership probes
+	MemoryMB          int      `toml:"memory_mb"`      // memory of the process; a quarter of it is for what clients make it hold
 	QueueLimit        int      `toml:"queue_limit"`    // maximum number of waiting requests per traffic thread
 	HedgeShare        float64  `toml:"hedge_share"`    // hedges per completed request, 0 to 1
 	RetryShare        float64  `toml:"retry_share"`    // retries per completed request, 0 to 1
@@ -109,7 +111,7 @@
 		Limits: limits{
 			CompactAfter: control.DefaultCompactAfter, Shutdown: duration(DefaultShutdownTimeout),
 			LoadBalancerDelay: duration(DefaultLoadBalancerDelay), ItemLease: duration(control.DefaultLease),
-			ProbeInterval: duration(member.DefaultProbeInterval), QueueLimit: traffic.DefaultQueueLimit,
+			ProbeInterval: duration(member.DefaultProbeInterval), MemoryMB: DefaultMemoryMB, QueueLimit: traffic.DefaultQueueLimit,
 			HedgeShare: traffic.DefaultHedgeShare, RetryShare: traffic.DefaultRetryShare,
 		},
 	}
@@ -182,6 +184,7 @@
 		{f.PeerAddress == f.HTTPAddress, "http_address: same as peer_address"},
 		{len(f.PeerKeys) == 0 || f.PeerKeys[0] == "", "peer_keys: at least one key is needed"},
 		{f.TrafficThreads < 1 || f.TrafficThreads > maxTrafficThreads, fmt.Sprintf("traffic_threads: must be 1 to %d", maxTrafficThreads)},
+		{f.Limits.MemoryMB < 1, "limits.memory_mb: must be at least 1"},
 		{f.Limits.QueueLimit < 1, "limits.queue_limit: must be at least 1"},
 		{f.Limits.CompactAfter < 1, "limits.compact_after: must be at least 1"},
 		{f.Limits.ProbeInterval == 0, "limits.probe_interval: must not be zero"},
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"fmt"
 	"io"
 	"net"
@@ -137,9 +138,20 @@
 	}
 }
 
-// messageHead returns the head of a message with the header that tells its length.
-func messageHead(path, framing string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n" + framing + "\r\n\r\n"
+// compress returns a text compressed by gzip.
+func compress(t *testing.T, text string) string {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, err := io.WriteString(w, text)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, w.Close(), qt.IsNil)
+	return out.String()
+}
+
+// messageHead returns the head of a message with the header that tells its length, of JSON unless a content
+// type is given.
+func messageHead(path, framing string, contentType ...string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Type: " + append(contentType, "application/json")[0] + "\r\n" + framing + "\r\n\r\n"
 }
 
 // TestCrowdsAtServe checks that an instance outlasts crowds of callers that send large messages or
@@ -148,6 +160,8 @@
 	sys := startSystem(t, systemOptions{centres: []string{"ch-west-a"}, perCentre: 1, engines: 1, descriptors: crowdDescriptors})
 	p := sys.layout.Instances()[0]
 	tiny := `{"job":"tiny","service":"` + service + `","total":1,"items":[` + strings.TrimSuffix(strings.Repeat(`{},`, crowdMessage/3-100), ",") + `]}`
+	tinyBinary := strings.Repeat("\x2a\x00", crowdMessage/2-100) // field 5, an item without content
+	tinyCompressed := compress(t, tiny)
 	for row, test := range []struct {
 		name string
 		send func(address string) (leave func())
@@ -156,6 +170,8 @@
 		{"a chunk without its end", writeStopping(60, messageHead(submitPath, "Transfer-Encoding: chunked")+fmt.Sprintf("%x\r\n", crowdMessage), crowdMessage-1)},
 		{"streams of one connection", streamStopping(60, crowdMessage-1)},
 		{"messages of tiny values", writeStopping(8, messageHead(jobPath, "Content-Length: "+strconv.Itoa(len(tiny)))+tiny, 0)},
+		{"binary messages of tiny values", writeStopping(4, messageHead(jobPath, "Content-Length: "+strconv.Itoa(len(tinyBinary)), "application/proto")+tinyBinary, 0)},
+		{"compressed messages of tiny values", writeStopping(4, messageHead(jobPath, "Content-Encoding: gzip\r\nContent-Length: "+strconv.Itoa(len(tinyCompressed)), "application/json")+tinyCompressed, 0)},
 		{"one byte of a hundred", writeStopping(1000, messageHead(submitPath, "Content-Length: 100"), 1)},
 		{"connections that send nothing", writeStopping(1000, "", 0)},
 	} {
