Give no room to holders that end while they wait

Cause: a connection that is closed while its head waits for room got the room afterwards, and nobody gave it back: the budget shrank for good.

Ruled out: giving it back at the end of the wait (the waiting goroutine cannot know whether the holder has ended).

Change: such waits end with ErrGaveWay before room is given; a closed holder gets nothing.

Evidence: TestCloseWhileWaiting failed (545,792 bytes held, 32,768 expected) and passes, 10 runs with the race detector.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -307,3 +307,18 @@
 	qt.Assert(t, errors.Is(sent.TryGrow(600*kib), ErrNoRoom), qt.IsTrue)
 	qt.Assert(t, f.Usage().Rejected(), qt.Equals, uint64(2))
 }
+
+// TestCloseWhileWaiting checks that a holder that ends while it waits gets nothing: nobody would give it back.
+func TestCloseWhileWaiting(t *testing.T) {
+	f := newFixture()
+	full := f.begin(t, "full", f.connect(t, "c", Outside), 700*kib)
+	qt.Assert(t, full.Serving(), qt.IsNil)
+	h := f.begin(t, "waits", f.connect(t, "d", Outside), 0)
+	result := f.start(func() error { return h.Grow(500 * kib) })
+	h.Close()
+	full.Close()
+	f.Step(f.now())
+	qt.Check(t, errors.Is(<-result, ErrGaveWay), qt.IsTrue)
+	qt.Check(t, errors.Is(h.Grow(kib), ErrGaveWay), qt.IsTrue)
+	qt.Check(t, f.Usage().Bytes(), qt.Equals, int64(2*ConnectionBytes))
+}
--- a/core/budget/hold.go
+++ b/core/budget/hold.go
@@ -120,7 +120,7 @@
 	defer b.mu.Unlock()
 	w := wait{hold: h, bytes: h.charged(bytes)}
 	switch {
-	case h.gaveWay:
+	case h.gaveWay || h.closed:
 		return ErrGaveWay
 	case !b.fits(w):
 		b.rejected++
@@ -136,7 +136,7 @@
 	b.mu.Lock()
 	w.bytes = h.charged(w.bytes)
 	switch {
-	case h.gaveWay:
+	case h.gaveWay || h.closed:
 		b.mu.Unlock()
 		return ErrGaveWay
 	case h.bytes+w.bytes > b.bytesFor(h.class, h.bytes+w.bytes):
--- a/core/budget/system_wait.go
+++ b/core/budget/system_wait.go
@@ -9,8 +9,8 @@
 func (b *Budget) Step(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.grant()
 	b.reject(now)
+	b.grant()
 	b.reclaim(now)
 }
 
@@ -75,12 +75,13 @@
 	}
 }
 
-// reject ends the waits that last too long.
+// reject ends the waits that last too long, and those of holders that must give back what they hold or have
+// done so: nobody would give back what they get.
 func (b *Budget) reject(now time.Time) {
 	hopeless := b.allServing()
 	for _, key := range b.waitKeys() {
 		switch w := b.waits.Get(key); {
-		case w.hold.gaveWay:
+		case w.hold.gaveWay || w.hold.closed:
 			b.end(key, ErrGaveWay)
 		case !now.Before(w.until), w.connection && hopeless:
 			b.rejected++
