End connections without progress when the limit of descriptors is lowered

Cause: accept fails before the gate is asked for a connection, so none had to give way; and one wait asked for one connection, however far the number was above the limit.

Ruled out: a timer that compares the number with the limit (work on each quiet instance).

Change: without descriptors the gate asks the budget for a connection before it tries again, and a wait asks for as many connections as are above the limit.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -322,3 +322,32 @@
 	qt.Check(t, errors.Is(h.Grow(kib), ErrGaveWay), qt.IsTrue)
 	qt.Check(t, f.Usage().Bytes(), qt.Equals, int64(2*ConnectionBytes))
 }
+
+// TestLoweredLimit checks that connections that make no progress are ended when the limit is lowered.
+func TestLoweredLimit(t *testing.T) {
+	const before, lowered = 60, 6 // for clients: two thirds of them
+	f := newFixture()
+	limit := before
+	f.Budget = New(10*testBytes, func() int { return limit }, WithClock(f.now), WithWake(func() { f.woken <- struct{}{} }))
+	ended := make(chan struct{}, before)
+	for range 30 {
+		var c *Hold
+		c, err := f.Connect(Outside, func(Resource) {
+			go func() {
+				c.Close()
+				ended <- struct{}{}
+			}()
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	limit = lowered
+	f.pass(stallTime)
+	result := f.start(func() error { _, err := f.Connect(Outside, func(Resource) {}); return err })
+	f.Step(f.now())
+	for range 30 + 1 - lowered*2/3 {
+		<-ended
+	}
+	f.Step(f.now())
+	qt.Assert(t, <-result, qt.IsNil)
+	qt.Assert(t, f.Usage().Connections(), qt.Equals, lowered*2/3)
+}
--- a/core/budget/system_reclaim.go
+++ b/core/budget/system_reclaim.go
@@ -33,6 +33,7 @@
 // need returns what those who wait lack.
 func (b *Budget) need() need {
 	var n need
+	waiting := 0
 	b.waits.Each(func(_ uint64, w *wait) {
 		lack := min(b.used+w.bytes-b.bytesFor(w.hold.class, w.hold.bytes+w.bytes), w.bytes)
 		switch {
@@ -42,8 +43,9 @@
 		default:
 			n.large += lack
 		}
-		if w.connection && b.open >= b.connsFor(w.hold.class) {
-			n.conns++
+		if w.connection { // the limit may have been lowered since the others were accepted
+			waiting++
+			n.conns = max(n.conns, b.open+waiting-b.connsFor(w.hold.class))
 		}
 	})
 	return n
--- a/io/client/gate.go
+++ b/io/client/gate.go
@@ -87,6 +87,7 @@
 		accepted, err := l.Listener.Accept()
 		if isExhausted(err) {
 			l.gate.lines.log(event.DescriptorsExhausted, "address", l.Addr().String(), "error", err)
+			l.gate.makeRoom(l.class)
 			time.Sleep(exhaustedPause)
 			continue
 		}
@@ -103,6 +104,14 @@
 	}
 }
 
+// makeRoom ends connections that make no progress if there are more than the limit allows, which may have been
+// lowered.
+func (g *Gate) makeRoom(class budget.Class) {
+	if hold, err := g.budget.Connect(class, func(budget.Resource) {}); err == nil {
+		hold.Close()
+	}
+}
+
 // isExhausted reports whether there were no descriptors or no memory for a connection.
 func isExhausted(err error) bool {
 	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
