Let idle connections give way to large requests

Callers saw: beside 940 idle connections a batch job of the largest size gets 503 for as long as they stay.

Cause: idle connections hold 16 KiB each, and only holders of more than 64 KiB gave way to large requests.

Ruled out: a smaller reservation for idle connections (they do take that much); room of their own for large requests.

Change: what stalled large holders cannot give, idle connections give, the longest idle first, if that is enough.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -122,7 +122,14 @@
 			f.pass(stallTime)
 			h.Received(progressBytes - 1)
 		}, 0, Outside, 500 * kib, nil, ErrNoRoom, "trickle"},
-		{"idle connections give way to small requests only", func(t *testing.T, f *fixture) {
+		{"idle connections give way if that is enough", func(t *testing.T, f *fixture) {
+			for n := range 2 {
+				f.connect(t, fmt.Sprint("idle", n), Outside).Idle()
+			}
+			c := f.connect(t, "c", Outside)
+			qt.Assert(t, f.begin(t, "large", c, 640*kib).Serving(), qt.IsNil)
+		}, stallTime, Outside, 80 * kib, nil, ErrNoRoom, "idle0 idle1"}, // their ends are not played here
+		{"idle connections do not give way in vain", func(t *testing.T, f *fixture) {
 			f.connect(t, "idle", Outside).Idle()
 			c := f.connect(t, "c", Outside)
 			qt.Assert(t, f.begin(t, "large", c, 700*kib).Serving(), qt.IsNil)
--- a/core/budget/system_reclaim.go
+++ b/core/budget/system_reclaim.go
@@ -25,8 +25,11 @@
 			n.conns--
 		}
 	})
-	b.reclaimBytes(now, n.large, smallBytes)
-	b.reclaimBytes(now, n.small, 0)
+	left := b.reclaimBytes(now, n.large, func(h *Hold) bool { return h.bytes > smallBytes })
+	if left <= b.idleBytes(now) { // otherwise their clients would lose their connections in vain
+		b.reclaimBytes(now, left, isIdle)
+	}
+	b.reclaimBytes(now, n.small, func(h *Hold) bool { return h.bytes > 0 })
 	b.reclaimConnections(now, n.conns)
 }
 
@@ -51,23 +54,36 @@
 	return n
 }
 
-// reclaimBytes selects holders of more than least bytes, the largest first: the fewest clients have to
-// give way.
-func (b *Budget) reclaimBytes(now time.Time, bytes, least int64) {
+// isIdle reports whether the holder is a connection without a request.
+func isIdle(h *Hold) bool { return h.phase == phaseIdle }
+
+// idleBytes returns what connections hold that have been idle for stallTime.
+func (b *Budget) idleBytes(now time.Time) int64 {
+	var sum int64
+	for _, h := range b.stalled(now, isIdle) {
+		sum += h.bytes
+	}
+	return sum
+}
+
+// reclaimBytes selects holders, the largest first: the fewest clients have to give way. It returns the bytes
+// that are still missing.
+func (b *Budget) reclaimBytes(now time.Time, bytes int64, selects func(h *Hold) bool) int64 {
 	if bytes <= 0 {
-		return
+		return 0
 	}
-	stalled := b.stalled(now, func(h *Hold) bool { return h.bytes > least })
+	stalled := b.stalled(now, selects)
 	slices.SortStableFunc(stalled, func(x, y *Hold) int {
 		return cmp.Or(cmp.Compare(y.bytes, x.bytes), x.marked.Compare(y.marked))
 	})
 	for _, h := range stalled {
 		if bytes <= 0 {
-			return
+			return 0
 		}
 		bytes -= h.bytes
 		b.giveWay(now, h, ResourceBytes)
 	}
+	return max(bytes, 0)
 }
 
 // reclaimConnections selects those that made no progress for longest, those with an unfinished request
@@ -89,7 +105,7 @@
 		}
 	})
 	slices.SortStableFunc(stalled, func(x, y *Hold) int {
-		switch idleX, idleY := x.phase == phaseIdle, y.phase == phaseIdle; {
+		switch idleX, idleY := isIdle(x), isIdle(y); {
 		case idleX == idleY:
 			return x.marked.Compare(y.marked)
 		case idleX:
