Remove what stood twice or was unused after the budget

Hold.Bytes had no caller. The size of a large packet was a constant in core/cluster and another in io/fleet that had to agree with it. The events 120 to 124 stood before 110.

Ruled out: one file for both crowd tests (they are in different packages with different clients); a shorter path for small packets in io/peer (their read deadline is set twice, but with another value: behaviour would change).

No check, bound or behaviour changed.

--- a/core/budget/hold.go
+++ b/core/budget/hold.go
@@ -181,13 +181,6 @@
 	}
 }
 
-// Bytes returns what the holder holds.
-func (h *Hold) Bytes() int64 {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	return h.bytes
-}
-
 // Received records that bytes arrived from the client.
 func (h *Hold) Received(bytes int) {
 	h.budget.mu.Lock()
--- a/core/cluster/packet.go
+++ b/core/cluster/packet.go
@@ -23,8 +23,8 @@
 	return Packet{from: from, to: to, ledgerMessages: ledgerMessages, requests: requests, replies: replies}
 }
 
-// largeMessageBytes is the size from which a request or a reply travels in a packet of its own.
-const largeMessageBytes = 64 << 10
+// LargeMessageBytes is the size from which a request or a reply travels in a packet of its own.
+const LargeMessageBytes = 64 << 10
 
 // Split returns the packet as several, each with one large request or reply at most. So what an instance
 // holds at a time to send or to read them does not grow with their number.
@@ -32,14 +32,14 @@
 	small := Packet{from: p.from, to: p.to, ledgerMessages: p.ledgerMessages}
 	var large []Packet
 	for _, r := range p.requests {
-		if len(r.Payload()) >= largeMessageBytes {
+		if len(r.Payload()) >= LargeMessageBytes {
 			large = append(large, Packet{from: p.from, to: p.to, requests: []call.Request{r}})
 			continue
 		}
 		small.requests = append(small.requests, r)
 	}
 	for _, r := range p.replies {
-		if len(r.Payload()) >= largeMessageBytes {
+		if len(r.Payload()) >= LargeMessageBytes {
 			large = append(large, Packet{from: p.from, to: p.to, replies: []call.Reply{r}})
 			continue
 		}
--- a/core/cluster/packet_test.go
+++ b/core/cluster/packet_test.go
@@ -12,7 +12,7 @@
 
 // TestSplit checks that each large request or reply travels in a packet of its own, and nothing is lost.
 func TestSplit(t *testing.T) {
-	large, small := make([]byte, largeMessageBytes), make([]byte, largeMessageBytes-1)
+	large, small := make([]byte, LargeMessageBytes), make([]byte, LargeMessageBytes-1)
 	for _, test := range []struct {
 		name     string
 		messages int
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -38,15 +38,15 @@
 	SettingsReloaded     = Event{105, slog.LevelInfo, "the settings file was reloaded"}
 	SettingsRejected     = Event{106, slog.LevelWarn, "a changed settings file was rejected"}
 	SpanExportFailed     = Event{107, slog.LevelWarn, "spans could not be exported at shutdown"}
+	DiskWriteFailed      = Event{110, slog.LevelError, "a write to disk failed"}
+	LogTruncated         = Event{111, slog.LevelWarn, "a torn record at the end of a log was truncated"}
+	LogCorrupt           = Event{112, slog.LevelError, "a corrupt record before the end of a log was found"}
+	ReplicaCreated       = Event{113, slog.LevelInfo, "the data folder holds no replica; a new replica id was created"}
 	ClientRejected       = Event{120, slog.LevelWarn, "there was no room for what a client sent"}
 	ClientGaveWay        = Event{121, slog.LevelWarn, "a client that made no progress had to give way"}
 	DescriptorsExhausted = Event{122, slog.LevelError, "no descriptor is left to accept a connection"}
 	HTTPServerFailed     = Event{123, slog.LevelWarn, "an HTTP server reported a fault"}
 	PacketDropped        = Event{124, slog.LevelWarn, "a packet between instances was dropped because there was no room for it"}
-	DiskWriteFailed      = Event{110, slog.LevelError, "a write to disk failed"}
-	LogTruncated         = Event{111, slog.LevelWarn, "a torn record at the end of a log was truncated"}
-	LogCorrupt           = Event{112, slog.LevelError, "a corrupt record before the end of a log was found"}
-	ReplicaCreated       = Event{113, slog.LevelInfo, "the data folder holds no replica; a new replica id was created"}
 )
 
 // Events of ledgers.
--- a/io/fleet/servers.go
+++ b/io/fleet/servers.go
@@ -65,12 +65,10 @@
 	return endpoints
 }
 
-// largePacketBytes is the size from which a packet's sender waits until the control thread has read it.
-const largePacketBytes = 64 << 10
-
-// deliver passes a packet of another instance to the control thread.
+// deliver passes a packet of another instance to the control thread. The sender of a large one waits until
+// that has read it.
 func (p *Process) deliver(packet cluster.Packet, size int) {
-	if size < largePacketBytes {
+	if size < cluster.LargeMessageBytes {
 		p.inbox.Post(cluster.PacketReceived(packet))
 		return
 	}
--- a/io/fleet/world.go
+++ b/io/fleet/world.go
@@ -77,7 +77,7 @@
 // sent: what must arrive is sent again.
 func (p *Process) send(packet cluster.Packet) {
 	done := func() {}
-	if size := int64(packet.PayloadBytes()); size >= largePacketBytes {
+	if size := int64(packet.PayloadBytes()); size >= cluster.LargeMessageBytes {
 		if err := p.outgoing.TryGrow(size); err != nil {
 			event.PacketDropped.Log(p.logger, "to", packet.To(), "bytes", size, "error", err)
 			return
